--- /dev/null
+++ b/internal/path/agent.go
@@ -0,0 +1,272 @@
+package path
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"dogwoodlanding.example/dogwood/platform"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+)
+
+// maxBalancers bounds the balancers that a stopping agent says goodbye to.
+const maxBalancers = 256
+
+// Agent is the process beside a backend server. Set the exported fields before
+// Run.
+type Agent struct {
+	Settings setup.PathAgent
+	Log      *log.Logger
+	Clock    clock.Clock
+
+	mu        sync.Mutex // guards core, journal and balancers
+	core      steer.Agent
+	journal   journal
+	balancers map[netip.AddrPort]bool // that have sent something
+	packets   *net.UDPConn            // balancers' offers
+	outbound  *net.UDPConn            // the server's packets
+	server    *net.UDPConn            // connected to the server
+	port      uint16                  // that callers take packets at
+	set       *metrics.Set
+	delivered *metrics.Counter
+	toCaller  *metrics.Counter
+}
+
+func (a *Agent) init() error {
+	var err error
+	if a.packets, err = listen(a.Settings.Path.Packets); err != nil {
+		return fmt.Errorf("open Path.Packets: %w", err)
+	}
+	if a.outbound, err = listen(a.Settings.Outbound); err != nil {
+		return fmt.Errorf("open Outbound: %w", err)
+	}
+	server, err := netip.ParseAddrPort(a.Settings.Server)
+	if err != nil {
+		return fmt.Errorf("read Server: %w", err)
+	}
+	if a.server, err = net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(server)); err != nil {
+		return fmt.Errorf("open a socket to Server: %w", err)
+	}
+	a.port = a.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	a.core.Service = steer.ServiceOf(a.Settings.Service)
+	a.journal = newJournal(a.Log)
+	a.balancers = make(map[netip.AddrPort]bool)
+	a.metrics()
+	return nil
+}
+
+func (a *Agent) metrics() {
+	a.set = metrics.NewSet()
+	a.delivered = a.set.NewCounter("dogwood_agent_delivered_total")
+	a.toCaller = a.set.NewCounter("dogwood_agent_to_caller_total")
+	for name, read := range map[string]func(steer.Counts) uint64{
+		"opened":     func(c steer.Counts) uint64 { return c.Opened },
+		"denied":     func(c steer.Counts) uint64 { return c.Denied },
+		"returned":   func(c steer.Counts) uint64 { return c.Returned },
+		"restarts":   func(c steer.Counts) uint64 { return c.Restarts },
+		"overloaded": func(c steer.Counts) uint64 { return c.Overloaded },
+	} {
+		a.set.NewGauge("dogwood_agent_"+name+"_total", func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return float64(read(a.core.Counts()))
+		})
+	}
+	a.set.NewGauge("dogwood_agent_load", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return float64(a.core.Load())
+	})
+}
+
+// Run forwards packets until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	if err := a.init(); err != nil {
+		return err
+	}
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	if err := servePages(running, a.Log, a.Settings.Path, func() bool { return ctx.Err() == nil }, a.set); err != nil {
+		return err
+	}
+	go a.readBalancers()
+	go a.readServer()
+	go a.tick(running)
+	a.Log.Info("started", "server", a.Settings.Server, "service", a.Settings.Service)
+	<-ctx.Done()
+	a.goodbye()
+	a.Log.Info("stopped")
+	return nil
+}
+
+// goodbye tells the balancers that this process ends.
+func (a *Agent) goodbye() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Leave()
+	m := steer.Message{Kind: steer.Goodbye}
+	datagram := make([]byte, m.Size())
+	m.Encode(datagram)
+	for to := range a.balancers {
+		a.send(a.packets, datagram, to)
+	}
+}
+
+// readBalancers handles the balancers' offers.
+func (a *Agent) readBalancers() {
+	buffer := make([]byte, headRoom+steer.MaxBytes+maxPacket)
+	var m steer.Message
+	for {
+		n, from, err := a.packets.ReadFromUDPAddrPort(buffer[headRoom:])
+		if err != nil {
+			a.Log.Error("read offers", "err", err)
+			return
+		}
+		raw := buffer[:headRoom+n]
+		rest, err := m.Decode(raw[headRoom:])
+		a.mu.Lock()
+		now := a.Clock.Now()
+		if err != nil {
+			a.journal.line(now, "offer dropped", "from", from, "err", err)
+			a.mu.Unlock()
+			continue
+		}
+		a.known(from)
+		if m.Kind == steer.Ping {
+			a.pong(from)
+			a.mu.Unlock()
+			continue
+		}
+		a.offered(now, from, &m, raw, len(rest))
+		a.mu.Unlock()
+	}
+}
+
+func (a *Agent) known(balancer netip.AddrPort) {
+	if !a.balancers[balancer] && len(a.balancers) < maxBalancers {
+		a.balancers[balancer] = true
+	}
+}
+
+func (a *Agent) offered(now clock.Millis, from netip.AddrPort, m *steer.Message, raw []byte, length int) {
+	packet := raw[len(raw)-length:]
+	p, ok := platform.DecodeCaller(packet)
+	if !ok {
+		a.journal.line(now, "offer dropped", "from", from, "why", steer.Malformed)
+		return
+	}
+	out := a.core.FromBalancer(now, from, m, p)
+	if out.Opened || out.Verdict == steer.Deny {
+		state, revision := a.core.State()
+		a.journal.line(now, "offer", "flow", p.Key, "decision", cause(out.Verdict, out.Reason), "balancer", from.Addr(),
+			"copy", p.Copy, "load", a.core.Load(), "slots", a.core.Slots, "state", state, "revision", revision)
+	}
+	a.act(now, out, p, m, raw)
+}
+
+// act carries out a decision. The packet ends the raw bytes.
+func (a *Agent) act(now clock.Millis, out steer.Outcome, p steer.Packet, m *steer.Message, raw []byte) {
+	packet := raw[len(raw)-platform.HeadBytes-p.Bytes:]
+	switch out.Verdict {
+	case steer.Deliver:
+		platform.Clean(packet)
+		a.delivered.Inc()
+		a.deliver(now, packet)
+	case steer.Deny:
+		platform.Clean(packet)
+		start := len(raw) - len(packet) - m.Size()
+		m.Encode(raw[start:])
+		a.send(a.packets, raw[start:], out.To)
+	case steer.ToCaller:
+		a.toCaller.Inc()
+		a.send(a.outbound, packet, netip.AddrPortFrom(p.Key.Source().Addr(), a.port))
+	}
+	if out.Hold.IsValid() {
+		a.hold(out.Hold, p)
+	}
+}
+
+func (a *Agent) deliver(now clock.Millis, packet []byte) {
+	_, err := a.server.Write(packet)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		if a.core.Refused() {
+			a.Log.Warn("server lost: nothing listens at its address", "server", a.Settings.Server)
+		}
+		_, err = a.server.Write(packet)
+	}
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		a.journal.line(now, "delivery failed", "err", err)
+	}
+}
+
+// hold tells a balancer that the server holds a flow.
+func (a *Agent) hold(to netip.AddrPort, p steer.Packet) {
+	m := steer.Message{Kind: steer.HoldFlow, Key: p.Key, Load: a.core.Load(), Slots: a.core.Slots}
+	datagram := make([]byte, m.Size())
+	m.Encode(datagram)
+	a.send(a.packets, datagram, to)
+}
+
+func (a *Agent) pong(to netip.AddrPort) {
+	m := steer.Message{Kind: steer.Pong, Load: a.core.Load(), Slots: a.core.Slots}
+	datagram := make([]byte, m.Size())
+	m.Encode(datagram)
+	a.send(a.packets, datagram, to)
+}
+
+func (a *Agent) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		a.journal.line(a.Clock.Now(), "send failed", "to", to, "err", err)
+	}
+}
+
+// readServer handles the server's packets.
+func (a *Agent) readServer() {
+	buffer := make([]byte, headRoom+maxPacket)
+	var m steer.Message
+	for {
+		n, _, err := a.outbound.ReadFromUDPAddrPort(buffer[headRoom:])
+		if err != nil {
+			a.Log.Error("read the server's packets", "err", err)
+			return
+		}
+		raw := buffer[:headRoom+n]
+		p, ok := platform.DecodeServer(raw[headRoom:])
+		if !ok {
+			continue
+		}
+		a.mu.Lock()
+		now := a.Clock.Now()
+		out := a.core.FromServer(now, p, &m)
+		if p.Returned {
+			a.journal.line(now, "returned by the server", "flow", p.Key, "first", p.First, "decision", cause(out.Verdict, out.Reason))
+		}
+		a.act(now, out, p, &m, raw)
+		a.mu.Unlock()
+	}
+}
+
+// tick runs the timers.
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.mu.Lock()
+			a.core.Tick(a.Clock.Now())
+			a.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/path/balancer.go
@@ -0,0 +1,278 @@
+package path
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/place"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"dogwoodlanding.example/dogwood/platform"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+)
+
+// leaveAfter is how long a balancer goes on after it has turned not ready: the
+// routers ask twice a second and believe the second miss.
+const leaveAfter = 1600 * time.Millisecond
+
+// Balancer is the process on an entry host. Set the exported fields before Run.
+type Balancer struct {
+	Settings setup.PathBalancer
+	Log      *log.Logger
+	Clock    clock.Clock
+
+	mu       sync.Mutex // guards core, journal, wake, changed and leaving
+	core     steer.Balancer
+	journal  journal
+	wake     wake
+	leaving  bool
+	changed  clock.Millis // when the view last changed
+	refresh  chan struct{}
+	packets  *net.UDPConn
+	agents   *net.UDPConn
+	port     uint16 // that callers and agents take packets at
+	counters balancerCounters
+}
+
+// balancerCounters are the metrics of a balancer.
+type balancerCounters struct {
+	set       *metrics.Set
+	verdicts  map[string]*metrics.Counter
+	storeCall *metrics.Counter
+	storeFail *metrics.Counter
+	storeTime *metrics.Histogram
+}
+
+func (b *Balancer) init() error {
+	var err error
+	if b.packets, err = listen(b.Settings.Path.Packets); err != nil {
+		return fmt.Errorf("open Path.Packets: %w", err)
+	}
+	if b.agents, err = listen(b.Settings.Agents); err != nil {
+		return fmt.Errorf("open Agents: %w", err)
+	}
+	b.port = b.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	b.core.CacheFlows = b.Settings.CacheFlows
+	b.core.EvacuateBy = clock.Millis(b.Settings.EvacuateMs)
+	b.journal = newJournal(b.Log)
+	b.refresh = make(chan struct{}, 1)
+	set := metrics.NewSet()
+	b.counters = balancerCounters{
+		set: set, verdicts: make(map[string]*metrics.Counter),
+		storeCall: set.NewCounter("dogwood_store_calls_total"),
+		storeFail: set.NewCounter("dogwood_store_failures_total"),
+		storeTime: set.NewHistogram("dogwood_store_list_seconds"),
+	}
+	return nil
+}
+
+// Run forwards packets until the context ends and the routers have turned away.
+func (b *Balancer) Run(ctx context.Context) error {
+	if err := b.init(); err != nil {
+		return err
+	}
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	if err := servePages(running, b.Log, b.Settings.Path, b.ready, b.counters.set); err != nil {
+		return err
+	}
+	store := newStore(b.Settings.Store, b.Clock, b.faulty)
+	go b.watchStore(running, store)
+	go b.readCallers()
+	go b.readAgents()
+	go b.tick(running)
+	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store)
+	<-ctx.Done()
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	b.Log.Info("stopping", "after", leaveAfter)
+	time.Sleep(leaveAfter)
+	b.Log.Info("stopped")
+	return nil
+}
+
+// ready reports whether the routers may send packets.
+func (b *Balancer) ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.leaving && b.core.Ready(b.Clock.Now())
+}
+
+// headRoom is where a packet begins in its buffer, so that a message fits in
+// front of it.
+const headRoom = steer.MaxBytes
+
+// readCallers handles the callers' packets.
+func (b *Balancer) readCallers() {
+	buffer := make([]byte, headRoom+maxPacket)
+	var m steer.Message
+	for {
+		n, from, err := b.packets.ReadFromUDPAddrPort(buffer[headRoom:])
+		if err != nil {
+			b.Log.Error("read packets", "err", err)
+			return
+		}
+		raw := buffer[:headRoom+n]
+		p, ok := platform.DecodeCaller(raw[headRoom:])
+		b.mu.Lock()
+		now := b.Clock.Now()
+		if !ok {
+			b.count(steer.Drop, steer.Malformed)
+			b.journal.line(now, "packet dropped", "from", from, "why", steer.Malformed)
+			b.mu.Unlock()
+			continue
+		}
+		if p.First {
+			b.checkSleep()
+		}
+		d := b.core.FromCaller(now, p, &m)
+		b.note(now, p, d, &m, 0)
+		b.act(d, p, &m, raw)
+		b.mu.Unlock()
+	}
+}
+
+// readAgents handles the agents' messages.
+func (b *Balancer) readAgents() {
+	buffer := make([]byte, headRoom+steer.MaxBytes+maxPacket)
+	var m steer.Message
+	for {
+		n, from, err := b.agents.ReadFromUDPAddrPort(buffer[headRoom:])
+		if err != nil {
+			b.Log.Error("read messages", "err", err)
+			return
+		}
+		raw := buffer[:headRoom+n]
+		rest, err := m.Decode(raw[headRoom:])
+		if err != nil {
+			b.mu.Lock()
+			b.journal.line(b.Clock.Now(), "message dropped", "from", from, "err", err)
+			b.mu.Unlock()
+			continue
+		}
+		agent := steer.AgentOf(from.Addr())
+		b.mu.Lock()
+		now := b.Clock.Now()
+		if m.Kind == steer.DenyPacket {
+			b.denied(now, agent, &m, raw, len(rest))
+		} else if b.core.Heard(now, agent, &m) {
+			b.journal.log.Info("agent regained", "agent", from.Addr())
+		}
+		b.mu.Unlock()
+	}
+}
+
+func (b *Balancer) denied(now clock.Millis, agent place.ID, m *steer.Message, raw []byte, length int) {
+	packet := raw[len(raw)-length:]
+	p, ok := platform.DecodeCaller(packet)
+	if !ok {
+		b.count(steer.Drop, steer.Malformed)
+		return
+	}
+	reason := m.Reason
+	d := b.core.Denied(now, agent, p, m)
+	b.journal.line(now, "flow denied", "flow", p.Key, "agent", steer.AddrOf(agent), "why", reason,
+		"load", m.Load, "slots", m.Slots, "then", cause(d.Verdict, d.Reason), "to", steer.AddrOf(d.To))
+	b.count(d.Verdict, d.Reason)
+	b.act(d, p, m, raw)
+}
+
+// note logs and counts a decision. Packets of known flows are only counted.
+func (b *Balancer) note(now clock.Millis, p steer.Packet, d steer.Decision, m *steer.Message, _ int) {
+	b.count(d.Verdict, d.Reason)
+	if d.Verdict == steer.Offer && d.Reason == steer.KnownOwner {
+		return
+	}
+	if d.Verdict == steer.Offer && d.Reason == steer.NewFlow && p.Copy == 0 {
+		return // the agent logs who opened it
+	}
+	b.journal.line(now, "flow", "flow", p.Key, "decision", cause(d.Verdict, d.Reason), "to", steer.AddrOf(d.To),
+		"copy", p.Copy, "revision", m.Revision, "viewAge", now-b.changed)
+}
+
+func (b *Balancer) count(v steer.Verdict, r steer.Reason) {
+	key := cause(v, r)
+	c := b.counters.verdicts[key]
+	if c == nil {
+		c = b.counters.set.NewCounter(fmt.Sprintf("dogwood_balancer_packets_total{verdict=%q,reason=%q}", v, r))
+		b.counters.verdicts[key] = c
+	}
+	c.Inc()
+}
+
+// act sends what was decided. The packet ends the raw bytes; the message goes
+// right before it.
+func (b *Balancer) act(d steer.Decision, p steer.Packet, m *steer.Message, raw []byte) {
+	switch d.Verdict {
+	case steer.Offer:
+		start := len(raw) - platform.HeadBytes - p.Bytes - m.Size()
+		m.Encode(raw[start:])
+		b.send(b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(d.To), b.port))
+	case steer.Refuse:
+		if p.Reset {
+			return
+		}
+		var reset [platform.HeadBytes]byte
+		b.send(b.packets, platform.AppendReset(reset[:0], p), netip.AddrPortFrom(p.Key.Source().Addr(), b.port))
+	}
+}
+
+func (b *Balancer) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		b.journal.line(b.Clock.Now(), "send failed", "to", to, "err", err)
+	}
+}
+
+// tick runs the timers.
+func (b *Balancer) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		b.mu.Lock()
+		b.checkSleep()
+		now := b.Clock.Now()
+		for _, s := range b.core.Tick(now, b.ping) {
+			b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
+		}
+		b.mu.Unlock()
+	}
+}
+
+func (b *Balancer) ping(agent place.ID) {
+	m := steer.Message{Kind: steer.Ping}
+	datagram := make([]byte, m.Size())
+	m.Encode(datagram)
+	b.send(b.agents, datagram, netip.AddrPortFrom(steer.AddrOf(agent), b.port))
+}
+
+// checkSleep holds new flows back until the view has been read again if the
+// process has slept.
+func (b *Balancer) checkSleep() {
+	gap := b.wake.slept()
+	if gap == 0 {
+		return
+	}
+	b.core.Woken()
+	b.Log.Warn("woken late", "slept", gap)
+	select {
+	case b.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// faulty logs an entry that names nothing usable.
+func (b *Balancer) faulty(key string, revision uint64, err error) {
+	b.Log.Warn("entry ignored", "key", key, "revision", revision, "err", err)
+}
--- /dev/null
+++ b/internal/path/path.go
@@ -0,0 +1,111 @@
+// Package path runs the decisions of pkg/steer as processes: sockets, timers,
+// the watch on the users' store, logs and metrics. It decides nothing.
+package path
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"dogwoodlanding.example/dogwood/internal/lines"
+	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"dogwoodlanding.example/dogwood/platform"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+)
+
+// Sizes of buffers in bytes.
+const (
+	// maxPacket holds the largest packet with room to notice a longer one.
+	maxPacket = 2048
+	// socketBuffer is what the kernel may queue for one socket: about 200 ms
+	// of a busy host's packets.
+	socketBuffer = 1 << 20
+)
+
+// tickInterval is the time between two runs of the timers.
+const tickInterval = 100 * time.Millisecond
+
+// Bounds of the decision log.
+const (
+	logPerSecond = 60  // lines, on average
+	logBurst     = 240 // lines at once
+)
+
+// listen opens a UDP socket.
+func listen(address string) (*net.UDPConn, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetReadBuffer(socketBuffer)
+}
+
+// serve answers HTTP requests until the context ends.
+func serve(ctx context.Context, logger *log.Logger, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("HTTP server ended", "address", address, "err", err)
+		}
+	}()
+	return nil
+}
+
+// metricsHandler serves a set of metrics.
+func metricsHandler(set *metrics.Set) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+}
+
+// servePages starts the readiness page and the metrics page.
+func servePages(ctx context.Context, logger *log.Logger, p setup.Path, ready func() bool, set *metrics.Set) error {
+	if err := serve(ctx, logger, p.Ready, platform.ReadyHandler(ready)); err != nil {
+		return err
+	}
+	if p.Metrics == "" {
+		return nil
+	}
+	return serve(ctx, logger, p.Metrics, metricsHandler(set))
+}
+
+// journal writes decision lines, bounded.
+type journal struct {
+	log   *log.Logger
+	limit lines.Limit
+}
+
+func newJournal(logger *log.Logger) journal {
+	return journal{log: logger, limit: lines.Limit{PerSecond: logPerSecond, Burst: logBurst}}
+}
+
+// line writes one decision line, or counts it as suppressed.
+func (j *journal) line(now clock.Millis, message string, fields ...any) {
+	ok, suppressed := j.limit.Allow(now)
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		j.log.Warn("decision lines suppressed", "lines", suppressed)
+	}
+	j.log.Info(message, fields...)
+}
+
+// cause says why a packet got its verdict.
+func cause(v steer.Verdict, r steer.Reason) string { return v.String() + ":" + r.String() }
--- /dev/null
+++ b/internal/path/watch.go
@@ -0,0 +1,159 @@
+package path
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"dogwoodlanding.example/dogwood/platform"
+)
+
+// Times of the watch on the store.
+const (
+	// watchWait is how long one watch waits. It bounds the age of the view when
+	// a connection has gone silent.
+	watchWait = 3 * time.Second
+	// gather is the pause after changes, so that changes close to each other
+	// cost one call.
+	gather = 60 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed call.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// connectTimeout bounds opening a connection to the store.
+	connectTimeout = time.Second
+)
+
+// newStore makes the process's one client of the store.
+func newStore(address string, c clock.Clock, faulty func(string, uint64, error)) *platform.Store {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	return &platform.Store{Address: address, Client: &http.Client{Transport: transport}, Clock: c, Faulty: faulty}
+}
+
+// watchStore keeps the registry up to date until the context ends.
+func (b *Balancer) watchStore(ctx context.Context, store *platform.Store) {
+	revision := uint64(0)
+	pause := retryLeast
+	for ctx.Err() == nil {
+		var err error
+		if revision == 0 {
+			revision, err = b.list(ctx, store)
+		} else {
+			revision, err = b.watchOnce(ctx, store, revision)
+		}
+		if err == nil {
+			pause = retryLeast
+			continue
+		}
+		b.counters.storeFail.Inc()
+		if errors.Is(err, platform.ErrHistoryGone) {
+			b.Log.Warn("listing the store again", "revision", revision, "err", err)
+			revision = 0
+			continue
+		}
+		b.storeLost(err)
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// list reads everything. It returns 0 for the revision if it fails.
+func (b *Balancer) list(ctx context.Context, store *platform.Store) (uint64, error) {
+	began := time.Now()
+	b.counters.storeCall.Inc()
+	changes, revision, err := store.List(ctx)
+	if err != nil {
+		return 0, err
+	}
+	b.counters.storeTime.UpdateDuration(began)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.heard(revision)
+	b.believe(now, b.core.Registry.Replace(now, changes), revision)
+	b.core.Refreshed()
+	b.Log.Info("store listed", "revision", revision, "items", len(changes), "took", time.Since(began).Round(time.Millisecond))
+	return revision, nil
+}
+
+// watchOnce waits for changes once. After the process has slept it returns at
+// once, so that everything is listed again.
+func (b *Balancer) watchOnce(ctx context.Context, store *platform.Store, revision uint64) (uint64, error) {
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	slept := make(chan bool, 1)
+	go func() {
+		select {
+		case <-b.refresh:
+			slept <- true
+			cancel()
+		case <-waiting.Done():
+			slept <- false
+		}
+	}()
+	b.counters.storeCall.Inc()
+	changes, next, err := store.Watch(waiting, revision, watchWait)
+	cancel()
+	if <-slept {
+		return 0, nil
+	}
+	if err != nil {
+		return revision, err
+	}
+	b.mu.Lock()
+	now := b.heard(next)
+	b.believe(now, b.core.Registry.Apply(now, changes), next)
+	b.mu.Unlock()
+	if len(changes) > 0 {
+		sleep(ctx, gather)
+	}
+	return next, nil
+}
+
+// heard notes an answer of the store.
+func (b *Balancer) heard(revision uint64) clock.Millis {
+	now := b.Clock.Now()
+	if b.core.Registry.Heard(now) {
+		b.Log.Info("store regained", "revision", revision)
+	}
+	return now
+}
+
+func (b *Balancer) storeLost(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.core.Registry.Lost() {
+		b.Log.Warn("store lost", "err", err)
+	}
+}
+
+// believe logs what the balancer believes from now on.
+func (b *Balancer) believe(now clock.Millis, notes []steer.Note, revision uint64) {
+	if len(notes) > 0 {
+		b.changed = now
+	}
+	for _, n := range notes {
+		fields := []any{"subject", n.Subject, "state", n.State, "version", n.Version, "revision", revision}
+		if n.Name != "" {
+			fields = append(fields, "name", n.Name)
+		}
+		if n.Agent.IsValid() {
+			fields = append(fields, "service", n.Service, "dataCentre", n.DataCentre, "agent", n.Agent, "cold", n.Cold)
+		}
+		b.Log.Info("belief", fields...)
+	}
+}
+
+// sleep waits for a while or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -145,9 +145,7 @@
 	for i, seed := range p.Seeds {
 		c.address(fmt.Sprintf("Process.Seeds[%d]", i), seed)
 	}
-	if _, err := log.ParseLevel(p.LogLevel); p.LogLevel != "" && err != nil {
-		c.fault("Process.LogLevel", "%q is not a log level", p.LogLevel)
-	}
+	c.level("Process.LogLevel", p.LogLevel)
 	c.count("Process.DrainMs", p.DrainMs)
 	c.timing(p.Timing)
 }
@@ -169,6 +167,12 @@
 	}
 }
 
+func (c *checker) level(field, text string) {
+	if _, err := log.ParseLevel(text); text != "" && err != nil {
+		c.fault(field, "%q is not a log level", text)
+	}
+}
+
 func (c *checker) count(field string, value int) {
 	if value < 0 {
 		c.fault(field, "%d must not be negative", value)
--- /dev/null
+++ b/pkg/steer/agent.go
@@ -0,0 +1,437 @@
+package steer
+
+import (
+	"net/netip"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/flow"
+)
+
+// Times and limits of an agent.
+const (
+	// serverAnswer is how long a server may take to answer a first packet
+	// before it counts as silent.
+	serverAnswer = 150 * clock.Millis(1)
+	// trialInterval is the time between two new flows that a silent server is
+	// tried with.
+	trialInterval = 200 * clock.Millis(1)
+	// deniedFor is how long a flow that the server returned is not tried again.
+	deniedFor = 2 * clock.Second
+	// endedFor is how long an ended flow is still the server's to answer for.
+	endedFor = 10 * clock.Second
+	// idleFor is how long a flow is remembered without a packet: the users'
+	// longest life of a flow.
+	idleFor = 60 * clock.Second
+	// workFor is the longest time that a request counts as being worked on.
+	workFor = 8 * clock.Second
+	// ackWindow is how far beyond the server's first number a caller's
+	// acknowledgement may be for the flow to be this server's.
+	ackWindow = 1 << 24
+	// goneAfter is how long a server without an entry must have been silent to
+	// packets before its flows count as lost.
+	goneAfter = 800 * clock.Millis(1)
+	// meanShare is the share of each new value in a smoothed mean.
+	meanShare = 0.1
+)
+
+// phase is how far a flow has come at this agent.
+type phase uint8
+
+const (
+	trying  phase = iota // handed to the server, which has not answered yet
+	opening              // first packet handed over
+	opened               // the server has sent something on it
+	ended                // one end has reset it, or both have finished
+	denied               // the server returned it
+)
+
+// entry is one flow.
+type entry struct {
+	from     netip.AddrPort // balancer that sent the last packet
+	seen     clock.Millis
+	began    clock.Millis // when the present phase or request began
+	lastSeq  uint32       // end of the data that the caller has sent
+	firstAck uint32       // what the caller's first acknowledgement must exceed
+	phase    phase
+	known    bool // firstAck is known
+	working  bool // a request is in progress
+	asked    bool // the balancer wants to hear who holds the flow
+	lasts    uint8
+	message  *Message // of a packet that the server may return
+}
+
+// Halves of a flow that have finished.
+const (
+	callerDone = 1 << 0
+	serverDone = 1 << 1
+)
+
+// Counts are an agent's counters since its start.
+type Counts struct {
+	Opened     uint64 // new flows handed to the server
+	Denied     uint64 // packets sent back to a balancer
+	Returned   uint64 // packets that the server did not accept
+	Restarts   uint64 // times that the server was found to have forgotten its flows
+	Overloaded uint64 // new flows denied because the answer would be late
+}
+
+// Agent decides what its server gets. Set the exported fields before the first
+// call. It is not safe for concurrent use.
+type Agent struct {
+	Service ServiceID
+	Slots   int // 0 until a balancer has said it
+
+	flows    map[flow.Key]*entry
+	load     int // requests in progress, and flows that are about to bring one
+	state    ServerState
+	revision uint64
+	coldTill clock.Millis
+	coldRate int
+	openings [openingsKept]clock.Millis // of the last flows opened while cold
+	next     int
+	waiting  clock.Millis // oldest first packet that the server has not answered
+	tried    clock.Millis // last new flow given to a silent server
+	heard    clock.Millis // last packet of the server
+	sent     clock.Millis // first packet handed over since then
+	refused  bool         // the host says that nothing listens at the server's address
+	work     float64      // smoothed time from a request to the first byte of its answer while slots were free
+	counts   Counts
+	leaving  bool
+}
+
+// openingsKept bounds the openings remembered for the cold limit.
+const openingsKept = 256
+
+// Outcome is what an agent does with a packet.
+type Outcome struct {
+	Verdict Verdict
+	Reason  Reason
+	To      netip.AddrPort // balancer that a Deny goes to
+	Hold    netip.AddrPort // balancer that hears that the server holds the flow, if valid
+	Opened  bool           // a new flow was handed to the server
+}
+
+func (a *Agent) init() {
+	if a.flows == nil {
+		a.flows = make(map[flow.Key]*entry)
+	}
+}
+
+// Counts returns the counters.
+func (a *Agent) Counts() Counts { return a.counts }
+
+// Load is the number of requests in progress.
+func (a *Agent) Load() int { return a.load }
+
+// Flows is the number of flows remembered.
+func (a *Agent) Flows() int { return len(a.flows) }
+
+// State is what balancers say of the server, with the revision of that word.
+func (a *Agent) State() (ServerState, uint64) { return a.state, a.revision }
+
+// FromBalancer decides on an offered packet. If it is denied, the message is
+// the one that goes back with it.
+func (a *Agent) FromBalancer(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
+	a.init()
+	a.learn(now, m)
+	if m.Service != a.Service && m.Service != ServiceOf("") {
+		return a.deny(from, m, WrongService)
+	}
+	e := a.flows[p.Key]
+	if p.First {
+		return a.first(now, from, m, p, e)
+	}
+	return a.later(now, from, m, p, e)
+}
+
+// learn takes what the balancer knows of this agent's server. Later entries of
+// the server replace earlier ones.
+func (a *Agent) learn(now clock.Millis, m *Message) {
+	if m.Revision < a.revision || m.Revision == 0 {
+		return
+	}
+	a.state, a.revision = m.State, m.Revision
+	if m.Slots > 0 {
+		a.Slots = m.Slots
+	}
+	if m.ColdLeft > 0 {
+		a.coldTill, a.coldRate = max(a.coldTill, now+m.ColdLeft), m.ColdRate
+	}
+}
+
+func (a *Agent) deny(to netip.AddrPort, m *Message, reason Reason) Outcome {
+	a.counts.Denied++
+	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.load, a.Slots
+	return Outcome{Verdict: Deny, Reason: reason, To: to}
+}
+
+// first decides on the first packet of a flow.
+func (a *Agent) first(now clock.Millis, from netip.AddrPort, m *Message, p Packet, e *entry) Outcome {
+	if e != nil && e.phase != denied && e.phase != ended && e.phase != trying {
+		e.seen, e.from = now, from
+		return Outcome{Verdict: Deliver, Reason: KnownOwner}
+	}
+	if reason := a.mayOpen(now, m); reason != None {
+		return a.deny(from, m, reason)
+	}
+	if e != nil {
+		a.drop(p.Key, e)
+	}
+	kept := *m
+	e = &entry{phase: opening, from: from, seen: now, began: now, message: &kept}
+	a.flows[p.Key] = e
+	a.setWorking(e, true, now)
+	if a.waiting == 0 {
+		a.waiting = now
+	}
+	if now < a.coldTill {
+		a.openings[a.next%openingsKept] = now
+		a.next++
+	}
+	a.delivered(now)
+	a.counts.Opened++
+	return Outcome{Verdict: Deliver, Reason: NewFlow, Opened: true}
+}
+
+// mayOpen tells why the server must not get a new flow now, or None.
+func (a *Agent) mayOpen(now clock.Millis, m *Message) Reason {
+	switch {
+	case a.leaving || a.state != Serving:
+		return Draining
+	case a.gone(now):
+		return ServerGone
+	case a.silent(now):
+		if now-a.tried < trialInterval {
+			return ServerSilent
+		}
+		a.tried = now
+	case a.tooCold(now):
+		return Cold
+	case a.Slots == 0 || a.load < a.Slots:
+	case !m.Final:
+		return Busy
+	case a.late(m.Goal):
+		a.counts.Overloaded++
+		return Overloaded
+	}
+	return None
+}
+
+// silent reports whether the server has left a first packet unanswered.
+func (a *Agent) silent(now clock.Millis) bool {
+	return a.refused || a.waiting != 0 && now-a.waiting >= serverAnswer
+}
+
+// gone reports whether the server has ended: nothing listens at its address, or
+// it is no longer listed and does not answer.
+func (a *Agent) gone(now clock.Millis) bool {
+	return a.refused || a.state == Missing && a.sent != 0 && now-a.sent >= goneAfter
+}
+
+// tooCold reports whether one more flow would exceed what the cold server bears
+// in a second.
+func (a *Agent) tooCold(now clock.Millis) bool {
+	if now >= a.coldTill || a.coldRate == 0 {
+		return false
+	}
+	within := 0
+	for _, at := range a.openings[:min(a.next, openingsKept)] {
+		if now-at < clock.Second {
+			within++
+		}
+	}
+	return within >= a.coldRate
+}
+
+// late reports whether a request that came now would be answered after its goal.
+func (a *Agent) late(goal clock.Millis) bool {
+	if goal == 0 || a.work == 0 || a.Slots == 0 {
+		return false
+	}
+	queued := float64(a.load - a.Slots + 1)
+	return a.work*(1+queued/float64(a.Slots)) > float64(goal)
+}
+
+// later decides on a packet of an open flow.
+func (a *Agent) later(now clock.Millis, from netip.AddrPort, m *Message, p Packet, e *entry) Outcome {
+	switch {
+	case a.gone(now):
+		return a.deny(from, m, ServerGone)
+	case e == nil:
+		kept := *m
+		e = &entry{phase: trying, began: now, message: &kept}
+		a.flows[p.Key] = e
+	case e.phase == denied && now-e.began < deniedFor:
+		e.seen = now
+		return a.deny(from, m, NotHeld)
+	case e.phase == denied:
+		e.phase, e.began = trying, now
+		fallthrough
+	case e.phase == trying:
+		*e.message = *m
+	case e.known && p.HasAck && p.Ack-e.firstAck > ackWindow:
+		return a.deny(from, m, Misplaced)
+	}
+	e.from, e.seen = from, now
+	e.asked = e.asked || m.Reason == Searching
+	out := Outcome{Verdict: Deliver, Reason: KnownOwner}
+	if e.asked && e.phase == opened {
+		e.asked, out.Hold = false, from
+	}
+	a.track(now, p, e)
+	a.delivered(now)
+	return out
+}
+
+// track follows the caller's half of a flow.
+func (a *Agent) track(now clock.Millis, p Packet, e *entry) {
+	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.lastSeq == 0 || int32(end-e.lastSeq) > 0) {
+		e.lastSeq = end
+		a.setWorking(e, true, now)
+	}
+	if p.Last {
+		e.lasts |= callerDone
+	}
+	if p.Reset || e.lasts == callerDone|serverDone {
+		a.end(now, e)
+	}
+}
+
+func (a *Agent) delivered(now clock.Millis) {
+	if a.sent == 0 {
+		a.sent = now
+	}
+}
+
+// setWorking keeps the count of requests in progress.
+func (a *Agent) setWorking(e *entry, working bool, now clock.Millis) {
+	if working {
+		e.began = now
+	}
+	if e.working == working {
+		return
+	}
+	e.working = working
+	if working {
+		a.load++
+	} else {
+		a.load--
+	}
+}
+
+func (a *Agent) end(now clock.Millis, e *entry) {
+	a.setWorking(e, false, now)
+	if e.phase != ended {
+		e.phase, e.began = ended, now
+	}
+}
+
+func (a *Agent) drop(key flow.Key, e *entry) {
+	a.setWorking(e, false, 0)
+	delete(a.flows, key)
+}
+
+// FromServer decides on a packet of the server. If the server returned it and it
+// is denied, the message is the one that goes back with it.
+func (a *Agent) FromServer(now clock.Millis, p Packet, m *Message) Outcome {
+	a.init()
+	a.heard, a.sent, a.refused = now, 0, false
+	e := a.flows[p.Key]
+	if p.Returned {
+		return a.returned(now, p, e, m)
+	}
+	if e == nil {
+		e = &entry{phase: opened, seen: now}
+		a.flows[p.Key] = e
+	}
+	e.seen = now
+	out := Outcome{Verdict: ToCaller}
+	if p.First && p.HasAck {
+		a.waiting = 0
+		if e.phase == opening {
+			e.firstAck, e.known = p.Seq, true
+			e.phase, e.asked = opened, true
+		}
+	}
+	if e.phase == trying || e.phase == opening && p.Bytes > 0 {
+		e.phase = opened
+	}
+	if e.asked && e.phase == opened && e.from.IsValid() {
+		e.asked, out.Hold = false, e.from
+	}
+	a.trackServer(now, p, e)
+	return out
+}
+
+// trackServer follows the server's half of a flow.
+func (a *Agent) trackServer(now clock.Millis, p Packet, e *entry) {
+	if p.Bytes > 0 && e.working {
+		a.sample(now - e.began)
+		a.setWorking(e, false, now)
+	}
+	if p.Last {
+		e.lasts |= serverDone
+	}
+	if p.Reset || e.lasts == callerDone|serverDone {
+		a.end(now, e)
+	}
+}
+
+// sample takes the time of one answer, if the request did not have to queue.
+func (a *Agent) sample(took clock.Millis) {
+	if a.Slots > 0 && a.load > a.Slots {
+		return
+	}
+	if a.work == 0 {
+		a.work = float64(took)
+	}
+	a.work += (float64(took) - a.work) * meanShare
+}
+
+// returned handles a packet that the server did not accept.
+func (a *Agent) returned(now clock.Millis, p Packet, e *entry, m *Message) Outcome {
+	a.counts.Returned++
+	if e == nil || !e.from.IsValid() {
+		return Outcome{Verdict: Drop, Reason: Malformed}
+	}
+	reason := NotHeld
+	if p.First {
+		reason, a.waiting = ServerFull, 0
+	}
+	if e.phase == opened && e.known {
+		a.counts.Restarts++
+	}
+	m.Count, m.Best, m.BestLoad, m.Unsure, m.Final = 0, 0, 0, false, false
+	if e.message != nil {
+		*m = *e.message
+	}
+	a.setWorking(e, false, now)
+	if e.message == nil {
+		e.message = &Message{}
+	}
+	e.phase, e.began, e.known, e.lasts, e.lastSeq = denied, now, false, 0, 0
+	return a.deny(e.from, m, reason)
+}
+
+// Refused says that nothing listens at the server's address.
+func (a *Agent) Refused() bool {
+	was := a.refused
+	a.refused = true
+	return !was
+}
+
+// Leave says that this process is about to end: no new flows.
+func (a *Agent) Leave() { a.leaving = true }
+
+// Tick forgets flows that have ended, been idle or been denied for long. Call it
+// about once a second.
+func (a *Agent) Tick(now clock.Millis) {
+	for key, e := range a.flows {
+		switch {
+		case e.working && now-e.began >= workFor:
+			a.setWorking(e, false, now)
+		case e.phase == ended && now-e.began >= endedFor, e.phase == denied && now-e.seen >= deniedFor, now-e.seen >= idleFor:
+			a.drop(key, e)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/steer/view.go
@@ -0,0 +1,407 @@
+package steer
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/place"
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServerState says what a balancer may do with a server.
+type ServerState uint8
+
+// States of a server.
+const (
+	Serving ServerState = iota // takes new flows
+	Leaving                    // drains: keeps its flows, takes no new ones
+	Missing                    // no longer listed; it may still hold flows
+)
+
+// Server is one run of a backend server, as it published itself.
+type Server struct {
+	Name       string
+	Agent      place.ID // address of the agent on the server's host
+	Service    string
+	DataCentre string
+	Slots      int // requests it runs at once
+	State      ServerState
+	ColdUntil  clock.Millis // 0 if it was warm
+	Born       int64        // tells one run of a name from the next
+	Revision   uint64       // of its entry
+
+	known   clock.Millis // when this process first knew of this run
+	listed  bool         // in the first listing after this process started
+	missing clock.Millis // when its entry went, 0 while it is listed
+}
+
+// Target is a service that a route sends a share of its new flows to.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route says where the flows to one address and port go.
+type Route struct {
+	Name    string
+	Address netip.AddrPort
+	Targets []Target
+	Goal    clock.Millis // response-time goal of its requests
+}
+
+// Service is what the configuration says of the servers of one name.
+type Service struct {
+	Name     string
+	ColdRate float64 // requests a second that a cold server bears, 0 if not said
+}
+
+// Config is one version of the operators' configuration. It is immutable.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Idle     clock.Millis // flows that are idle for longer may be discarded, 0 if not said
+}
+
+// Change is one difference that the platform reports. One of the fields is set.
+type Change struct {
+	Server   *Server // listed or rewritten
+	Removed  string  // name of a server that is no longer listed
+	Config   *Config
+	Centre   string // data centre whose state changed
+	TakenOut bool   // of Centre
+}
+
+// Times that the registry waits.
+const (
+	// settle is how long a server is known before it gets new flows, so that
+	// every balancer knows of it before the first flow opens there.
+	settle = 250 * clock.Millis(1)
+	// entriesBack is how long entries that lapsed during an outage of the
+	// platform may take to return; the users' pages say about two seconds.
+	entriesBack = 2500 * clock.Millis(1)
+	// missingKept is how long a server without an entry is still asked for its
+	// flows: the users' longest life of a flow.
+	missingKept = 60 * clock.Second
+	// freshFor is how old the last word of the platform may be for a view that
+	// can still say that nobody holds a flow.
+	freshFor = 8 * clock.Second
+)
+
+// Registry holds what a balancer believes of routes, servers and data centres.
+// It is not safe for concurrent use. The zero value knows nothing.
+type Registry struct {
+	config  *Config
+	servers map[string]*Server
+	out     map[string]clock.Millis // when a data centre was found taken out
+	heard   clock.Millis            // last word of the platform
+	lost    bool                    // the platform does not answer
+	back    clock.Millis            // when it last answered again
+	listed  bool
+	view    *View
+}
+
+// Heard notes an answer of the platform. It reports whether the platform had
+// been lost.
+func (r *Registry) Heard(now clock.Millis) bool {
+	r.heard = now
+	if !r.lost {
+		return false
+	}
+	r.lost, r.back = false, now
+	return true
+}
+
+// Lost notes that the platform does not answer. It reports whether that is new.
+func (r *Registry) Lost() bool {
+	was := r.lost
+	r.lost = true
+	return !was
+}
+
+// Replace takes a whole listing. Servers that it does not name are removed.
+func (r *Registry) Replace(now clock.Millis, listing []Change) []Note {
+	var notes []Note
+	named, out := make(map[string]bool), make(map[string]bool)
+	for _, c := range listing {
+		if c.Server != nil {
+			named[c.Server.Name] = true
+		}
+		out[c.Centre] = out[c.Centre] || c.TakenOut
+	}
+	for name, s := range r.servers {
+		if !named[name] && s.missing == 0 {
+			notes = append(notes, r.remove(now, name)...)
+		}
+	}
+	for name := range r.out {
+		if !out[name] {
+			notes = append(notes, r.centre(now, name, false)...)
+		}
+	}
+	notes = append(notes, r.Apply(now, listing)...)
+	r.listed = true
+	return notes
+}
+
+// Apply takes changes in the order in which they were made.
+func (r *Registry) Apply(now clock.Millis, changes []Change) []Note {
+	if r.servers == nil {
+		r.servers, r.out = make(map[string]*Server), make(map[string]clock.Millis)
+	}
+	var notes []Note
+	for _, c := range changes {
+		switch {
+		case c.Server != nil:
+			notes = append(notes, r.server(now, *c.Server)...)
+		case c.Removed != "":
+			notes = append(notes, r.remove(now, c.Removed)...)
+		case c.Config != nil:
+			notes = append(notes, r.reconfigure(*c.Config)...)
+		case c.Centre != "":
+			notes = append(notes, r.centre(now, c.Centre, c.TakenOut)...)
+		}
+	}
+	if len(notes) > 0 {
+		r.view = nil
+	}
+	return notes
+}
+
+func (r *Registry) server(now clock.Millis, s Server) []Note {
+	old := r.servers[s.Name]
+	if old != nil && s.Revision < old.Revision {
+		return nil
+	}
+	s.known, s.listed = now, !r.listed
+	if old != nil && old.Born == s.Born {
+		s.known, s.listed = old.known, old.listed
+	}
+	r.servers[s.Name] = &s
+	if old != nil && old.sameBelief(s) {
+		return nil
+	}
+	return []Note{{Subject: "server", Name: s.Name, State: s.State.String(), Service: s.Service, DataCentre: s.DataCentre,
+		Agent: AddrOf(s.Agent), Version: s.Revision, Cold: max(0, s.ColdUntil-now)}}
+}
+
+// sameBelief reports whether a rewritten entry changes no decision.
+func (s *Server) sameBelief(other Server) bool {
+	return s.missing == 0 && s.Born == other.Born && s.State == other.State && s.Service == other.Service &&
+		s.Agent == other.Agent && s.DataCentre == other.DataCentre && s.Slots == other.Slots &&
+		(s.ColdUntil > 0) == (other.ColdUntil > 0)
+}
+
+// remove takes a server's entry away. A server that drained has left, if the
+// platform has been steady; otherwise it may live and hold flows.
+func (r *Registry) remove(now clock.Millis, name string) []Note {
+	s := r.servers[name]
+	if s == nil || s.missing != 0 {
+		return nil
+	}
+	r.view = nil
+	note := Note{Subject: "server", Name: name, State: "removed", Service: s.Service, DataCentre: s.DataCentre, Agent: AddrOf(s.Agent), Version: s.Revision}
+	if s.State == Leaving && !r.unsteady(now) {
+		delete(r.servers, name)
+		return []Note{note}
+	}
+	gone := *s
+	gone.missing = now
+	r.servers[name] = &gone
+	note.State = Missing.String()
+	return []Note{note}
+}
+
+// unsteady reports whether entries may have lapsed for want of the platform.
+func (r *Registry) unsteady(now clock.Millis) bool {
+	return r.lost || r.back != 0 && now-r.back < entriesBack
+}
+
+func (r *Registry) reconfigure(c Config) []Note {
+	if r.config != nil && c.Version <= r.config.Version {
+		if c.Version == r.config.Version {
+			return nil
+		}
+		return []Note{{Subject: "configuration", State: "stale version ignored", Version: c.Version}}
+	}
+	r.config = &c
+	r.view = nil
+	return []Note{{Subject: "configuration", State: "in force", Version: c.Version, Count: len(c.Routes)}}
+}
+
+func (r *Registry) centre(now clock.Millis, name string, out bool) []Note {
+	_, was := r.out[name]
+	if was == out {
+		return nil
+	}
+	r.view = nil
+	if !out {
+		delete(r.out, name)
+		return []Note{{Subject: "data centre", Name: name, State: "in"}}
+	}
+	r.out[name] = now
+	return []Note{{Subject: "data centre", Name: name, State: "out"}}
+}
+
+// Note says what the registry now believes, for the log.
+type Note struct {
+	Subject    string
+	Name       string
+	State      string
+	Service    string
+	DataCentre string
+	Agent      netip.Addr
+	Version    uint64
+	Count      int
+	Cold       clock.Millis
+}
+
+// View returns the present view, which is replaced when something changes or a
+// server's time has come. It is nil before the first configuration.
+func (r *Registry) View(now clock.Millis) *View {
+	if r.config == nil {
+		return nil
+	}
+	if r.view == nil || now >= r.view.until {
+		r.forget(now)
+		r.view = newView(now, r)
+	}
+	return r.view
+}
+
+// Fresh reports whether the view can say that nobody holds a flow.
+func (r *Registry) Fresh(now clock.Millis) bool {
+	return r.listed && now-r.heard < freshFor
+}
+
+func (r *Registry) forget(now clock.Millis) {
+	for name, s := range r.servers {
+		if s.missing != 0 && now-s.missing >= missingKept {
+			delete(r.servers, name)
+		}
+	}
+}
+
+// View is what a balancer decides by. It is immutable.
+type View struct {
+	Version uint64 // of the configuration
+	Idle    clock.Millis
+
+	routes   map[netip.AddrPort]*Route
+	services map[string]*pool
+	agents   map[place.ID]*Server
+	out      map[string]clock.Millis
+	until    clock.Millis // when the passing of time changes it
+}
+
+// pool is the servers of one service.
+type pool struct {
+	id       ServiceID
+	coldRate float64
+	open     place.Table // agents whose servers may take new flows
+	holders  place.Table // agents whose servers may hold flows
+}
+
+// never is an instant after all others.
+const never = clock.Millis(1) << 60
+
+func newView(now clock.Millis, r *Registry) *View {
+	v := &View{
+		Version: r.config.Version, Idle: r.config.Idle, until: never, out: maps.Clone(r.out),
+		routes: make(map[netip.AddrPort]*Route, len(r.config.Routes)), services: make(map[string]*pool),
+		agents: make(map[place.ID]*Server),
+	}
+	for i := range r.config.Routes {
+		route := &r.config.Routes[i]
+		v.routes[route.Address] = route
+		for _, t := range route.Targets {
+			v.services[t.Service] = nil
+		}
+	}
+	open, holders := make(map[string][]place.Member), make(map[string][]place.Member)
+	for _, s := range sorted(r.servers) {
+		state, until := r.stateOf(now, s)
+		v.until = min(v.until, until)
+		member := place.Member{ID: s.Agent, Weight: s.Slots}
+		if holds := holders[s.Service]; !slices.Contains(holds, member) {
+			holders[s.Service] = append(holds, member)
+		}
+		if kept := v.agents[s.Agent]; kept != nil && kept.Born > s.Born {
+			continue
+		}
+		shown := *s
+		shown.State = state
+		v.agents[s.Agent] = &shown
+		if _, gone := r.out[s.DataCentre]; state == Serving && !gone && r.settled(now, s) {
+			open[s.Service] = append(open[s.Service], member)
+		}
+	}
+	for name := range v.services {
+		v.services[name] = &pool{id: ServiceOf(name), open: place.New(open[name]), holders: place.New(holders[name])}
+	}
+	for _, s := range r.config.Services {
+		if p := v.services[s.Name]; p != nil {
+			p.coldRate = s.ColdRate
+		}
+	}
+	return v
+}
+
+// sorted lists servers in the order of their names, so that equal registries
+// make equal views.
+func sorted(servers map[string]*Server) []*Server {
+	out := make([]*Server, 0, len(servers))
+	for _, name := range slices.Sorted(maps.Keys(servers)) {
+		out = append(out, servers[name])
+	}
+	return out
+}
+
+// stateOf is the state of a server now and until when that holds.
+func (r *Registry) stateOf(now clock.Millis, s *Server) (ServerState, clock.Millis) {
+	if s.missing == 0 {
+		if !r.settled(now, s) {
+			return s.State, s.known + settle
+		}
+		return s.State, never
+	}
+	lapsed := r.back != 0 && s.missing-r.back < entriesBack && s.missing >= r.back
+	if s.State == Serving && lapsed && now < r.back+entriesBack {
+		return Serving, r.back + entriesBack
+	}
+	return Missing, s.missing + missingKept
+}
+
+func (r *Registry) settled(now clock.Millis, s *Server) bool {
+	return s.listed || now-s.known >= settle
+}
+
+// Servers is the number of servers of the view.
+func (v *View) Servers() int { return len(v.agents) }
+
+// Routes is the number of routes of the view.
+func (v *View) Routes() int { return len(v.routes) }
+
+// serviceFor chooses the target of a new flow by the flow's hash.
+func (r *Route) serviceFor(hash uint64) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0
+	for _, t := range r.Targets {
+		total += max(0, t.Weight)
+	}
+	if total == 0 {
+		return ""
+	}
+	at := int((xxhash.Sum64String(r.Name)^hash)>>33) % total
+	for _, t := range r.Targets {
+		at -= max(0, t.Weight)
+		if at < 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
