--- a/cmd/dogpath/main.go
+++ b/cmd/dogpath/main.go
@@ -60,14 +60,14 @@
 		if err != nil {
 			return err
 		}
-		b := &path.Balancer{Settings: settings, Log: logger(settings.Path, out)}
+		b := &path.Balancer{Settings: settings, File: a.Balancer.Settings, Log: logger(settings.Path, out)}
 		return b.Run(ctx)
 	case a.Agent != nil:
 		settings, err := setup.ReadPathAgent(a.Agent.Settings)
 		if err != nil {
 			return err
 		}
-		agent := &path.Agent{Settings: settings, Log: logger(settings.Path, out)}
+		agent := &path.Agent{Settings: settings, File: a.Agent.Settings, Log: logger(settings.Path, out)}
 		return agent.Run(ctx)
 	}
 	return fmt.Errorf("name a sub-command: balancer or agent")
--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -25,6 +25,7 @@
 // Run.
 type Agent struct {
 	Settings setup.PathAgent
+	File     string // that the settings are read from again, if not empty
 	Log      *log.Logger
 	Clock    clock.Clock
 
@@ -101,6 +102,9 @@
 	go a.readBalancers()
 	go a.readServer()
 	go a.tick(running)
+	if a.File != "" {
+		go onChange(running, a.Log, a.File, a.reload)
+	}
 	a.Log.Info("started", "server", a.Settings.Server, "service", a.Settings.Service)
 	<-ctx.Done()
 	a.goodbye()
@@ -108,6 +112,24 @@
 	return nil
 }
 
+// reload takes the settings that may change while the process runs.
+func (a *Agent) reload() error {
+	settings, err := setup.ReadPathAgent(a.File)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if service := steer.ServiceOf(settings.Service); service != a.core.Service {
+		a.core.Replace(service)
+		a.Log.Warn("belief", "subject", "service of the server", "state", settings.Service)
+	}
+	if fixed(settings.Path) != fixed(a.Settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server {
+		a.Log.Warn("changed addresses take effect at the next start")
+	}
+	return nil
+}
+
 // goodbye tells the balancers that this process ends.
 func (a *Agent) goodbye() {
 	a.mu.Lock()
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -24,6 +24,7 @@
 // Balancer is the process on an entry host. Set the exported fields before Run.
 type Balancer struct {
 	Settings setup.PathBalancer
+	File     string // that the settings are read from again, if not empty
 	Log      *log.Logger
 	Clock    clock.Clock
 
@@ -87,6 +88,9 @@
 	go b.readCallers()
 	go b.readAgents()
 	go b.tick(running)
+	if b.File != "" {
+		go onChange(running, b.Log, b.File, b.reload)
+	}
 	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store)
 	<-ctx.Done()
 	b.mu.Lock()
@@ -98,6 +102,21 @@
 	return nil
 }
 
+// reload takes the settings that may change while the process runs.
+func (b *Balancer) reload() error {
+	settings, err := setup.ReadPathBalancer(b.File)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.EvacuateBy = clock.Millis(settings.EvacuateMs)
+	if fixed(settings.Path) != fixed(b.Settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents {
+		b.Log.Warn("changed addresses take effect at the next start")
+	}
+	return nil
+}
+
 // ready reports whether the routers may send packets.
 func (b *Balancer) ready() bool {
 	b.mu.Lock()
@@ -133,7 +152,7 @@
 			b.checkSleep()
 		}
 		d := b.core.FromCaller(now, p, &m)
-		b.note(now, p, d, &m, 0)
+		b.note(now, p, d, &m)
 		b.act(d, p, &m, raw)
 		b.mu.Unlock()
 	}
@@ -185,7 +204,7 @@
 }
 
 // note logs and counts a decision. Packets of known flows are only counted.
-func (b *Balancer) note(now clock.Millis, p steer.Packet, d steer.Decision, m *steer.Message, _ int) {
+func (b *Balancer) note(now clock.Millis, p steer.Packet, d steer.Decision, m *steer.Message) {
 	b.count(d.Verdict, d.Reason)
 	if d.Verdict == steer.Offer && d.Reason == steer.KnownOwner {
 		return
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -107,5 +107,11 @@
 	j.log.Info(message, fields...)
 }
 
+// fixed is the part of the settings that takes effect at the start only.
+func fixed(p setup.Path) setup.Path {
+	p.LogLevel = ""
+	return p
+}
+
 // cause says why a packet got its verdict.
 func cause(v steer.Verdict, r steer.Reason) string { return v.String() + ":" + r.String() }
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -257,6 +257,8 @@
 	switch {
 	case a.gone(now):
 		return a.deny(from, m, ServerGone)
+	case m.KnownOnly && (e == nil || e.phase == trying || e.phase == denied):
+		return a.deny(from, m, NotKnown)
 	case e == nil:
 		kept := *m
 		e = &entry{phase: trying, began: now, message: &kept}
@@ -420,6 +422,12 @@
 	return !was
 }
 
+// Replace says that the server now belongs to another service: nothing that was
+// learned holds for it.
+func (a *Agent) Replace(service ServiceID) {
+	*a = Agent{Service: service, counts: a.counts, leaving: a.leaving}
+}
+
 // Leave says that this process is about to end: no new flows.
 func (a *Agent) Leave() { a.leaving = true }
 
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -95,7 +95,7 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	m.Kind, m.Reason, m.Final, m.Unsure, m.Count, m.Best, m.BestLoad = OfferPacket, KnownOwner, false, false, 0, 0, 0
+	m.Kind, m.Reason, m.Final, m.Unsure, m.KnownOnly, m.Count, m.Best, m.BestLoad = OfferPacket, KnownOwner, false, false, false, 0, 0, 0
 	m.Goal = route.Goal
 	hash := p.Key.Hash()
 	if owner := b.cache.Get(now, hash); owner != 0 {
@@ -138,7 +138,9 @@
 		m.visit(from)
 		return b.open(now, view, route, hash, p, m)
 	}
-	m.Unsure = m.Unsure || !m.Reason.Certain() || !m.visit(from)
+	if noted := m.visit(from); !noted || !m.Reason.Certain() {
+		m.Unsure = true
+	}
 	return b.search(now, view, route, hash, p, m)
 }
 
@@ -235,8 +237,9 @@
 			switch {
 			case m.visited(id):
 			case b.closed(now, view, id):
-				m.Unsure = true
+				m.Unsure, m.KnownOnly = true, true
 			case b.agents[id] != nil && b.agents[id].silent:
+				m.KnownOnly = true
 				if silent == 0 {
 					silent, silentService = id, target.Service
 				}
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -29,23 +29,24 @@
 
 // Message travels between a balancer and an agent in front of the packet.
 type Message struct {
-	Kind     MessageKind
-	Reason   Reason
-	Final    bool         // every candidate was busy: the least busy one is asked
-	Unsure   bool         // an agent before did not say for certain that it holds nothing
-	State    ServerState  // of the agent's server, as the balancer knows it
-	Service  ServiceID    // that the packet is for
-	Revision uint64       // of what the balancer knows of the agent's server
-	ColdRate int          // new flows a second that the server bears while it is cold
-	ColdLeft clock.Millis // how long it stays cold, 0 if it is warm
-	Goal     clock.Millis // response-time goal of the request that a new flow carries
-	Load     int          // requests in progress at the agent's server
-	Slots    int          // requests that it can run at once
-	Best     place.ID     // least busy agent that denied the packet, 0 if none
-	BestLoad int          // its requests for each hundred slots
-	Key      flow.Key     // of a HoldFlow
-	Visited  [MaxVisited]uint32
-	Count    int // of Visited
+	Kind      MessageKind
+	Reason    Reason
+	Final     bool         // every candidate was busy: the least busy one is asked
+	Unsure    bool         // an agent before did not say for certain that it holds nothing
+	KnownOnly bool         // take the packet only if the server is known to hold its flow: an agent that came before could not be asked
+	State     ServerState  // of the agent's server, as the balancer knows it
+	Service   ServiceID    // that the packet is for
+	Revision  uint64       // of what the balancer knows of the agent's server
+	ColdRate  int          // new flows a second that the server bears while it is cold
+	ColdLeft  clock.Millis // how long it stays cold, 0 if it is warm
+	Goal      clock.Millis // response-time goal of the request that a new flow carries
+	Load      int          // requests in progress at the agent's server
+	Slots     int          // requests that it can run at once
+	Best      place.ID     // least busy agent that denied the packet, 0 if none
+	BestLoad  int          // its requests for each hundred slots
+	Key       flow.Key     // of a HoldFlow
+	Visited   [MaxVisited]uint32
+	Count     int // of Visited
 }
 
 // Sizes of an encoded message in bytes.
@@ -58,6 +59,7 @@
 const (
 	flagFinal  = 1 << 0
 	flagUnsure = 1 << 1
+	flagKnown  = 1 << 2
 )
 
 // ErrMessage is returned for bytes that are no message.
@@ -97,6 +99,9 @@
 	if m.Unsure {
 		f |= flagUnsure
 	}
+	if m.KnownOnly {
+		f |= flagKnown
+	}
 	return f
 }
 
@@ -112,6 +117,7 @@
 	}
 	m.Kind, m.Reason, m.State = kind, Reason(b[1]), ServerState(b[3])
 	m.Final, m.Unsure = b[2]&flagFinal != 0, b[2]&flagUnsure != 0
+	m.KnownOnly = b[2]&flagKnown != 0
 	m.Service = ServiceID(binary.BigEndian.Uint32(b[4:]))
 	m.Revision = binary.BigEndian.Uint64(b[8:])
 	m.ColdRate = int(binary.BigEndian.Uint16(b[16:]))
--- a/pkg/steer/reason_string.go
+++ b/pkg/steer/reason_string.go
@@ -16,25 +16,26 @@
 	_ = x[NoView-5]
 	_ = x[NoServer-6]
 	_ = x[NotHeld-7]
-	_ = x[WrongService-8]
-	_ = x[ServerGone-9]
-	_ = x[ServerSilent-10]
-	_ = x[ServerFull-11]
-	_ = x[Busy-12]
-	_ = x[Overloaded-13]
-	_ = x[Cold-14]
-	_ = x[Draining-15]
-	_ = x[EveryoneDenied-16]
-	_ = x[OutOfService-17]
-	_ = x[StaleView-18]
-	_ = x[Woken-19]
-	_ = x[Malformed-20]
-	_ = x[Misplaced-21]
+	_ = x[NotKnown-8]
+	_ = x[WrongService-9]
+	_ = x[ServerGone-10]
+	_ = x[ServerSilent-11]
+	_ = x[ServerFull-12]
+	_ = x[Busy-13]
+	_ = x[Overloaded-14]
+	_ = x[Cold-15]
+	_ = x[Draining-16]
+	_ = x[EveryoneDenied-17]
+	_ = x[OutOfService-18]
+	_ = x[StaleView-19]
+	_ = x[Woken-20]
+	_ = x[Malformed-21]
+	_ = x[Misplaced-22]
 }
 
-const _Reason_name = "NoneNewFlowKnownOwnerSearchingNoRouteNoViewNoServerNotHeldWrongServiceServerGoneServerSilentServerFullBusyOverloadedColdDrainingEveryoneDeniedOutOfServiceStaleViewWokenMalformedMisplaced"
+const _Reason_name = "NoneNewFlowKnownOwnerSearchingNoRouteNoViewNoServerNotHeldNotKnownWrongServiceServerGoneServerSilentServerFullBusyOverloadedColdDrainingEveryoneDeniedOutOfServiceStaleViewWokenMalformedMisplaced"
 
-var _Reason_index = [...]uint8{0, 4, 11, 21, 30, 37, 43, 51, 58, 70, 80, 92, 102, 106, 116, 120, 128, 142, 154, 163, 168, 177, 186}
+var _Reason_index = [...]uint8{0, 4, 11, 21, 30, 37, 43, 51, 58, 66, 78, 88, 100, 110, 114, 124, 128, 136, 150, 162, 171, 176, 185, 194}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -45,6 +45,7 @@
 	NoView                // the process knows no configuration or servers yet
 	NoServer              // no server may take a new flow
 	NotHeld               // the server does not hold the flow
+	NotKnown              // the agent has not seen the flow, and was not to try its server
 	WrongService          // the agent's server belongs to another service
 	ServerGone            // the server has ended
 	ServerSilent          // the server does not answer first packets
