--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -18,6 +18,9 @@
 	"github.com/charmbracelet/log"
 )
 
+// queueInterval is the time between two looks at first packets that wait.
+const queueInterval = 20 * time.Millisecond
+
 // maxBalancers bounds the balancers that a stopping agent says goodbye to.
 const maxBalancers = 256
 
@@ -36,6 +39,7 @@
 	packets   *net.UDPConn            // balancers' offers
 	outbound  *net.UDPConn            // the server's packets
 	server    *net.UDPConn            // connected to the server
+	soon      *time.Timer             // runs the timers early while first packets wait
 	port      uint16                  // that callers take packets at
 	set       *metrics.Set
 	delivered *metrics.Counter
@@ -60,6 +64,7 @@
 	a.port = a.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	a.core.Service = steer.ServiceOf(a.Settings.Service)
 	a.journal = newJournal(a.Log)
+	a.soon = time.NewTimer(queueInterval)
 	a.balancers = make(map[netip.AddrPort]bool)
 	a.metrics()
 	return nil
@@ -193,6 +198,24 @@
 			"copy", p.Copy, "load", a.core.Load(), "slots", a.core.Slots, "state", state, "revision", revision)
 	}
 	a.act(now, out, p, m, raw)
+	a.release(now)
+}
+
+// release lets waiting first packets go.
+func (a *Agent) release(now clock.Millis) {
+	for {
+		r, ok := a.core.Release(now)
+		if !ok {
+			break
+		}
+		a.journal.line(now, "waited", "flow", r.Packet.Key, "decision", cause(r.Outcome.Verdict, r.Outcome.Reason),
+			"waited", r.Waited, "load", a.core.Load(), "slots", a.core.Slots)
+		raw := append(make([]byte, headRoom, headRoom+len(r.Raw)), r.Raw...)
+		a.act(now, r.Outcome, r.Packet, r.Message, raw)
+	}
+	if a.core.Waiting() > 0 {
+		a.soon.Reset(queueInterval)
+	}
 }
 
 // act carries out a decision. The packet ends the raw bytes.
@@ -208,6 +231,8 @@
 		start := len(raw) - len(packet) - m.Size()
 		m.Encode(raw[start:])
 		a.send(a.packets, raw[start:], out.To)
+	case steer.Wait:
+		a.core.Keep(packet)
 	case steer.ToCaller:
 		a.toCaller.Inc()
 		a.send(a.outbound, packet, netip.AddrPortFrom(p.Key.Source().Addr(), a.port))
@@ -273,6 +298,7 @@
 			a.journal.line(now, "returned by the server", "flow", p.Key, "first", p.First, "decision", cause(out.Verdict, out.Reason))
 		}
 		a.act(now, out, p, &m, raw)
+		a.release(now)
 		a.mu.Unlock()
 	}
 }
@@ -286,9 +312,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			a.mu.Lock()
-			a.core.Tick(a.Clock.Now())
-			a.mu.Unlock()
+		case <-a.soon.C:
 		}
+		a.mu.Lock()
+		now := a.Clock.Now()
+		a.core.Tick(now)
+		a.release(now)
+		a.mu.Unlock()
 	}
 }
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -24,6 +24,12 @@
 	idleFor = 60 * clock.Second
 	// workFor is the longest time that a request counts as being worked on.
 	workFor = 8 * clock.Second
+	// leastOpening and mostOpening bound how long an opened flow is expected to
+	// bring its request: several round trips to the caller.
+	leastOpening = 20 * clock.Millis(1)
+	mostOpening  = 400 * clock.Millis(1)
+	// openingTrips is how many usual times a late request may take.
+	openingTrips = 4
 	// ackWindow is how far beyond the server's first number a caller's
 	// acknowledgement may be for the flow to be this server's.
 	ackWindow = 1 << 24
@@ -54,6 +60,7 @@
 	firstAck uint32       // what the caller's first acknowledgement must exceed
 	phase    phase
 	known    bool // firstAck is known
+	brought  bool // the caller has sent data
 	working  bool // a request is in progress
 	asked    bool // the balancer wants to hear who holds the flow
 	lasts    uint8
@@ -94,7 +101,9 @@
 	heard    clock.Millis // last packet of the server
 	sent     clock.Millis // first packet handed over since then
 	refused  bool         // the host says that nothing listens at the server's address
-	work     float64      // smoothed time from a request to the first byte of its answer while slots were free
+	work     float64      // smoothed time from a request to the first byte of its answer, milliseconds
+	queue    queue
+	trip     float64 // smoothed time from the server's answer to the request, milliseconds
 	counts   Counts
 	leaving  bool
 }
@@ -120,8 +129,8 @@
 // Counts returns the counters.
 func (a *Agent) Counts() Counts { return a.counts }
 
-// Load is the number of requests in progress.
-func (a *Agent) Load() int { return a.load }
+// Load is the number of requests in progress or waiting.
+func (a *Agent) Load() int { return a.load + a.queue.length() }
 
 // Flows is the number of flows remembered.
 func (a *Agent) Flows() int { return len(a.flows) }
@@ -161,7 +170,7 @@
 
 func (a *Agent) deny(to netip.AddrPort, m *Message, reason Reason) Outcome {
 	a.counts.Denied++
-	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.load, a.Slots
+	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.Load(), a.Slots
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
 
@@ -171,14 +180,25 @@
 		e.seen, e.from = now, from
 		return Outcome{Verdict: Deliver, Reason: KnownOwner}
 	}
+	if a.queue.has(p.Key) {
+		return Outcome{Verdict: Drop, Reason: Queued, Hold: from}
+	}
 	if reason := a.mayOpen(now, m); reason != None {
 		return a.deny(from, m, reason)
 	}
-	if e != nil {
+	if a.queue.length() > 0 || !a.free() {
+		return a.enqueue(now, from, m, p)
+	}
+	return a.open(now, from, m, p)
+}
+
+// open hands the first packet of a flow to the server.
+func (a *Agent) open(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
+	if e := a.flows[p.Key]; e != nil {
 		a.drop(p.Key, e)
 	}
 	kept := *m
-	e = &entry{phase: opening, from: from, seen: now, began: now, message: &kept}
+	e := &entry{phase: opening, from: from, seen: now, began: now, message: &kept}
 	a.flows[p.Key] = e
 	a.setWorking(e, true, now)
 	if a.waiting == 0 {
@@ -207,12 +227,8 @@
 		a.tried = now
 	case a.tooCold(now):
 		return Cold
-	case a.Slots == 0 || a.load < a.Slots:
-	case !m.Final:
+	case a.Slots > 0 && a.load >= a.Slots && !m.Final:
 		return Busy
-	case a.late(m.Goal):
-		a.counts.Overloaded++
-		return Overloaded
 	}
 	return None
 }
@@ -243,15 +259,6 @@
 	return within >= a.coldRate
 }
 
-// late reports whether a request that came now would be answered after its goal.
-func (a *Agent) late(goal clock.Millis) bool {
-	if goal == 0 || a.work == 0 || a.Slots == 0 {
-		return false
-	}
-	queued := float64(a.load - a.Slots + 1)
-	return a.work*(1+queued/float64(a.Slots)) > float64(goal)
-}
-
 // later decides on a packet of an open flow.
 func (a *Agent) later(now clock.Millis, from netip.AddrPort, m *Message, p Packet, e *entry) Outcome {
 	switch {
@@ -288,7 +295,10 @@
 // track follows the caller's half of a flow.
 func (a *Agent) track(now clock.Millis, p Packet, e *entry) {
 	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.lastSeq == 0 || int32(end-e.lastSeq) > 0) {
-		e.lastSeq = end
+		if !e.brought && e.known {
+			a.trip += (float64(now-e.began) - a.trip) * meanShare
+		}
+		e.lastSeq, e.brought = end, true
 		a.setWorking(e, true, now)
 	}
 	if p.Last {
@@ -299,6 +309,11 @@
 	}
 }
 
+// openingFor is how long an opened flow counts as about to bring a request.
+func (a *Agent) openingFor() clock.Millis {
+	return max(leastOpening, min(mostOpening, clock.Millis(openingTrips*a.trip)))
+}
+
 func (a *Agent) delivered(now clock.Millis) {
 	if a.sent == 0 {
 		a.sent = now
@@ -352,7 +367,7 @@
 		a.waiting = 0
 		if e.phase == opening {
 			e.firstAck, e.known = p.Seq, true
-			e.phase, e.asked = opened, true
+			e.phase, e.asked, e.began = opened, true, now
 		}
 	}
 	if e.phase == trying || e.phase == opening && p.Bytes > 0 {
@@ -431,12 +446,13 @@
 // Leave says that this process is about to end: no new flows.
 func (a *Agent) Leave() { a.leaving = true }
 
-// Tick forgets flows that have ended, been idle or been denied for long. Call it
-// about once a second.
+// Tick forgets flows that have ended, been idle or been denied for long, and
+// requests that never came. Call it about once a second, and every few
+// milliseconds while first packets wait.
 func (a *Agent) Tick(now clock.Millis) {
 	for key, e := range a.flows {
 		switch {
-		case e.working && now-e.began >= workFor:
+		case e.working && (now-e.began >= workFor || !e.brought && e.phase != opening && now-e.began >= a.openingFor()):
 			a.setWorking(e, false, now)
 		case e.phase == ended && now-e.began >= endedFor, e.phase == denied && now-e.seen >= deniedFor, now-e.seen >= idleFor:
 			a.drop(key, e)
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -96,7 +96,7 @@
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
 	m.Kind, m.Reason, m.Final, m.Unsure, m.KnownOnly, m.Count, m.Best, m.BestLoad = OfferPacket, KnownOwner, false, false, false, 0, 0, 0
-	m.Goal = route.Goal
+	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.cache.Get(now, hash); owner != 0 {
 		return b.offer(now, view, p, m, owner, ownService(view, owner))
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -40,6 +40,7 @@
 	ColdRate  int          // new flows a second that the server bears while it is cold
 	ColdLeft  clock.Millis // how long it stays cold, 0 if it is warm
 	Goal      clock.Millis // response-time goal of the request that a new flow carries
+	Priority  int          // of that request, 0 is the most urgent
 	Load      int          // requests in progress at the agent's server
 	Slots     int          // requests that it can run at once
 	Best      place.ID     // least busy agent that denied the packet, 0 if none
@@ -51,7 +52,7 @@
 
 // Sizes of an encoded message in bytes.
 const (
-	headBytes = 48
+	headBytes = 52
 	MaxBytes  = headBytes + 4*MaxVisited
 )
 
@@ -86,6 +87,8 @@
 	binary.BigEndian.PutUint16(b[40:], m.Key.SourcePort)
 	binary.BigEndian.PutUint16(b[42:], m.Key.TargetPort)
 	binary.BigEndian.PutUint32(b[44:], uint32(m.Count))
+	put16(b[48:], m.Priority)
+	put16(b[50:], 0)
 	for i, id := range m.Visited[:m.Count] {
 		binary.BigEndian.PutUint32(b[headBytes+4*i:], id)
 	}
@@ -129,6 +132,7 @@
 	m.Best = place.ID(binary.BigEndian.Uint32(b[28:]))
 	m.Key = KeyOf(netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[32:36])), binary.BigEndian.Uint16(b[40:])),
 		netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[36:40])), binary.BigEndian.Uint16(b[42:])))
+	m.Priority = int(binary.BigEndian.Uint16(b[48:]))
 	m.Count = int(count)
 	for i := range m.Visited[:m.Count] {
 		m.Visited[i] = binary.BigEndian.Uint32(b[headBytes+4*i:])
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -59,6 +59,7 @@
 	StaleView             // the view is too old to say that nobody holds the flow
 	Woken                 // the process slept and has not refreshed its view
 	Malformed             // the packet or message could not be read
+	Queued                // the first packet waits for a free slot
 	Misplaced             // acknowledges another server's answer
 )
 
@@ -78,6 +79,7 @@
 	Deny                    // send it back to the balancer
 	ToCaller                // send it to the caller
 	Refuse                  // answer the caller with a reset
+	Wait                    // keep it until the server has a free slot
 )
 
 // AgentOf identifies the agent at an IPv4 address.
--- a/pkg/steer/verdict_string.go
+++ b/pkg/steer/verdict_string.go
@@ -14,11 +14,12 @@
 	_ = x[Deny-3]
 	_ = x[ToCaller-4]
 	_ = x[Refuse-5]
+	_ = x[Wait-6]
 }
 
-const _Verdict_name = "DropOfferDeliverDenyToCallerRefuse"
+const _Verdict_name = "DropOfferDeliverDenyToCallerRefuseWait"
 
-var _Verdict_index = [...]uint8{0, 4, 9, 16, 20, 28, 34}
+var _Verdict_index = [...]uint8{0, 4, 9, 16, 20, 28, 34, 38}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -45,10 +45,11 @@
 
 // Route says where the flows to one address and port go.
 type Route struct {
-	Name    string
-	Address netip.AddrPort
-	Targets []Target
-	Goal    clock.Millis // response-time goal of its requests
+	Name     string
+	Address  netip.AddrPort
+	Targets  []Target
+	Goal     clock.Millis // response-time goal of its requests
+	Priority int          // of its requests, 0 is the most urgent
 }
 
 // Service is what the configuration says of the servers of one name.
@@ -324,10 +325,7 @@
 	for _, s := range sorted(r.servers) {
 		state, until := r.stateOf(now, s)
 		v.until = min(v.until, until)
-		member := place.Member{ID: s.Agent, Weight: s.Slots}
-		if holds := holders[s.Service]; !slices.Contains(holds, member) {
-			holders[s.Service] = append(holds, member)
-		}
+		add(holders, s)
 		if kept := v.agents[s.Agent]; kept != nil && kept.Born > s.Born {
 			continue
 		}
@@ -335,7 +333,7 @@
 		shown.State = state
 		v.agents[s.Agent] = &shown
 		if _, gone := r.out[s.DataCentre]; state == Serving && !gone && r.settled(now, s) {
-			open[s.Service] = append(open[s.Service], member)
+			add(open, s)
 		}
 	}
 	for name := range v.services {
@@ -349,6 +347,14 @@
 	return v
 }
 
+// add notes the agent of a server once.
+func add(members map[string][]place.Member, s *Server) {
+	m := place.Member{ID: s.Agent, Weight: s.Slots}
+	if !slices.Contains(members[s.Service], m) {
+		members[s.Service] = append(members[s.Service], m)
+	}
+}
+
 // sorted lists servers in the order of their names, so that equal registries
 // make equal views.
 func sorted(servers map[string]*Server) []*Server {
