--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -21,6 +21,10 @@
 // routers ask twice a second and believe the second miss.
 const leaveAfter = 1600 * time.Millisecond
 
+// longestStart is how long callers' packets are kept at the start: as long as
+// a caller waits at least for the answer to a first packet.
+const longestStart = 500 * time.Millisecond
+
 // Balancer is the process on an entry host. Set the exported fields before Run.
 type Balancer struct {
 	Settings setup.PathBalancer
@@ -28,17 +32,19 @@
 	Log      *log.Logger
 	Clock    clock.Clock
 
-	mu       sync.Mutex // guards core, journal, wake, changed and leaving
-	core     steer.Balancer
-	journal  journal
-	wake     wake
-	leaving  bool
-	changed  clock.Millis // when the view last changed
-	refresh  chan struct{}
-	packets  *net.UDPConn
-	agents   *net.UDPConn
-	port     uint16 // that callers and agents take packets at
-	counters balancerCounters
+	mu          sync.Mutex // guards core, journal, wake, changed and leaving
+	core        steer.Balancer
+	journal     journal
+	wake        wake
+	leaving     bool
+	changed     clock.Millis  // when the view last changed
+	refresh     chan struct{} // wakes the watch when the view must be read again
+	listed      chan struct{} // closed by the first listing
+	closeListed sync.Once
+	packets     *net.UDPConn
+	agents      *net.UDPConn
+	port        uint16 // that callers and agents take packets at
+	counters    balancerCounters
 }
 
 // balancerCounters are the metrics of a balancer.
@@ -62,7 +68,7 @@
 	b.core.CacheFlows = b.Settings.CacheFlows
 	b.core.EvacuateBy = clock.Millis(b.Settings.EvacuateMs)
 	b.journal = newJournal(b.Log)
-	b.refresh = make(chan struct{}, 1)
+	b.refresh, b.listed = make(chan struct{}, 1), make(chan struct{})
 	set := metrics.NewSet()
 	b.counters = balancerCounters{
 		set: set, verdicts: make(map[string]*metrics.Counter),
@@ -85,7 +91,10 @@
 	}
 	store := newStore(b.Settings.Store, b.Clock, b.faulty)
 	go b.watchStore(running, store)
-	go b.readCallers()
+	go func() {
+		b.awaitView(running)
+		b.readCallers()
+	}()
 	go b.readAgents()
 	go b.tick(running)
 	if b.File != "" {
@@ -124,6 +133,18 @@
 	return !b.leaving && b.core.Ready(b.Clock.Now())
 }
 
+// awaitView waits until the first view is in force, so that packets which come
+// while the store is being listed are kept by the kernel and not dropped.
+func (b *Balancer) awaitView(ctx context.Context) {
+	timer := time.NewTimer(longestStart)
+	defer timer.Stop()
+	select {
+	case <-b.listed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // headRoom is where a packet begins in its buffer, so that a message fits in
 // front of it.
 const headRoom = steer.MaxBytes
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -76,6 +76,7 @@
 	now := b.heard(revision)
 	b.believe(now, b.core.Registry.Replace(now, changes), revision)
 	b.core.Refreshed()
+	b.closeListed.Do(func() { close(b.listed) })
 	b.Log.Info("store listed", "revision", revision, "items", len(changes), "took", time.Since(began).Round(time.Millisecond))
 	return revision, nil
 }
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -235,7 +235,7 @@
 		var ranked [MaxVisited]place.ID
 		for _, id := range ranked[:pool.holders.Rank(hash, ranked[:])] {
 			switch {
-			case m.visited(id):
+			case m.visited(id), view.empty(id):
 			case b.closed(now, view, id):
 				m.Unsure, m.KnownOnly = true, true
 			case b.agents[id] != nil && b.agents[id].silent:
@@ -276,8 +276,8 @@
 	if s == nil || b.EvacuateBy == 0 {
 		return false
 	}
-	since, out := view.out[s.DataCentre]
-	return out && now-since >= b.EvacuateBy
+	o, out := view.out[s.DataCentre]
+	return out && now-o.since >= b.EvacuateBy
 }
 
 // offer fills in what the agent must know of its server.
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -31,6 +31,7 @@
 	ColdUntil  clock.Millis // 0 if it was warm
 	Born       int64        // tells one run of a name from the next
 	Revision   uint64       // of its entry
+	Created    uint64       // revision at which its name was first listed
 
 	known   clock.Millis // when this process first knew of this run
 	listed  bool         // in the first listing after this process started
@@ -73,6 +74,7 @@
 	Config   *Config
 	Centre   string // data centre whose state changed
 	TakenOut bool   // of Centre
+	Revision uint64 // at which Centre was taken out
 }
 
 // Times that the registry waits.
@@ -96,14 +98,20 @@
 type Registry struct {
 	config  *Config
 	servers map[string]*Server
-	out     map[string]clock.Millis // when a data centre was found taken out
-	heard   clock.Millis            // last word of the platform
-	lost    bool                    // the platform does not answer
-	back    clock.Millis            // when it last answered again
+	out     map[string]outage // data centres that have been taken out
+	heard   clock.Millis      // last word of the platform
+	lost    bool              // the platform does not answer
+	back    clock.Millis      // when it last answered again
 	listed  bool
 	view    *View
 }
 
+// outage is a data centre that has been taken out.
+type outage struct {
+	since    clock.Millis // when this process found it so
+	revision uint64       // at which it was taken out
+}
+
 // Heard notes an answer of the platform. It reports whether the platform had
 // been lost.
 func (r *Registry) Heard(now clock.Millis) bool {
@@ -139,7 +147,7 @@
 	}
 	for name := range r.out {
 		if !out[name] {
-			notes = append(notes, r.centre(now, name, false)...)
+			notes = append(notes, r.centre(now, Change{Centre: name})...)
 		}
 	}
 	notes = append(notes, r.Apply(now, listing)...)
@@ -150,7 +158,7 @@
 // Apply takes changes in the order in which they were made.
 func (r *Registry) Apply(now clock.Millis, changes []Change) []Note {
 	if r.servers == nil {
-		r.servers, r.out = make(map[string]*Server), make(map[string]clock.Millis)
+		r.servers, r.out = make(map[string]*Server), make(map[string]outage)
 	}
 	var notes []Note
 	for _, c := range changes {
@@ -162,7 +170,7 @@
 		case c.Config != nil:
 			notes = append(notes, r.reconfigure(*c.Config)...)
 		case c.Centre != "":
-			notes = append(notes, r.centre(now, c.Centre, c.TakenOut)...)
+			notes = append(notes, r.centre(now, c)...)
 		}
 	}
 	if len(notes) > 0 {
@@ -232,18 +240,17 @@
 	return []Note{{Subject: "configuration", State: "in force", Version: c.Version, Count: len(c.Routes)}}
 }
 
-func (r *Registry) centre(now clock.Millis, name string, out bool) []Note {
-	_, was := r.out[name]
-	if was == out {
+func (r *Registry) centre(now clock.Millis, c Change) []Note {
+	if _, was := r.out[c.Centre]; was == c.TakenOut {
 		return nil
 	}
 	r.view = nil
-	if !out {
-		delete(r.out, name)
-		return []Note{{Subject: "data centre", Name: name, State: "in"}}
+	if !c.TakenOut {
+		delete(r.out, c.Centre)
+		return []Note{{Subject: "data centre", Name: c.Centre, State: "in"}}
 	}
-	r.out[name] = now
-	return []Note{{Subject: "data centre", Name: name, State: "out"}}
+	r.out[c.Centre] = outage{now, c.Revision}
+	return []Note{{Subject: "data centre", Name: c.Centre, State: "out", Version: c.Revision}}
 }
 
 // Note says what the registry now believes, for the log.
@@ -293,7 +300,7 @@
 	routes   map[netip.AddrPort]*Route
 	services map[string]*pool
 	agents   map[place.ID]*Server
-	out      map[string]clock.Millis
+	out      map[string]outage
 	until    clock.Millis // when the passing of time changes it
 }
 
@@ -384,6 +391,17 @@
 	return s.listed || now-s.known >= settle
 }
 
+// empty reports whether the server of an agent came after its data centre had
+// been taken out, so that no flow can have opened there.
+func (v *View) empty(id place.ID) bool {
+	s := v.agents[id]
+	if s == nil {
+		return false
+	}
+	o, out := v.out[s.DataCentre]
+	return out && o.revision != 0 && s.Created > o.revision
+}
+
 // Servers is the number of servers of the view.
 func (v *View) Servers() int { return len(v.agents) }
 
