--- /dev/null
+++ b/pkg/steer/flows_test.go
@@ -0,0 +1,191 @@
+package steer_test
+
+import (
+	"testing"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"gotest.tools/v3/assert"
+)
+
+func TestAnyBalancerFindsTheServerOfAFlow(t *testing.T) {
+	w := newWorld(t, 7, 2)
+	for port := 1000; port < 1050; port++ {
+		owner := w.open(w.balancers[0], port)
+		assert.Assert(t, owner != nil)
+		assert.Equal(t, w.send(w.balancers[1], data(port, owner.server)), owner)
+	}
+	assert.Equal(t, len(w.resets), 0)
+}
+
+func TestFlowSurvivesTheRestartOfItsAgent(t *testing.T) {
+	w := newWorld(t, 7, 2)
+	owner := w.open(w.balancers[0], 1000)
+	for _, h := range w.hosts {
+		h.restartAgent()
+	}
+	assert.Equal(t, w.send(w.balancers[0], data(1000, owner.server)), owner)
+	assert.Equal(t, w.send(w.balancers[1], data(1000, owner.server)), owner)
+}
+
+func TestFlowKeepsItsServerWhileItDrainsOrLosesItsEntry(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		change func(w *world, h *host) steer.Change
+	}{
+		{"draining", func(w *world, h *host) steer.Change {
+			return steer.Change{Server: w.entry(w.idOf(h), steer.Leaving)}
+		}},
+		{"entry lapsed", func(_ *world, h *host) steer.Change { return steer.Change{Removed: h.name} }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := newWorld(t, 5, 2)
+			owner := w.open(w.balancers[0], 1000)
+			w.tell(row.change(w, owner))
+			w.now += 4000
+			assert.Equal(t, w.send(w.balancers[0], data(1000, owner.server)), owner)
+			assert.Equal(t, w.send(w.balancers[1], data(1000, owner.server)), owner)
+			for port := 2000; port < 2050; port++ {
+				assert.Assert(t, w.open(w.balancers[port%2], port) != owner, "a new flow")
+			}
+		})
+	}
+}
+
+func TestResetOnlyWhenEveryoneHasDenied(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		break_ func(w *world, owner, other *host)
+		resets int
+	}{
+		{"the server forgot the flow", func(_ *world, owner, _ *host) { owner.server.flows = map[keyType]bool{} }, 1},
+		{"the server forgot it and another agent is down", func(_ *world, owner, other *host) {
+			owner.server.flows, other.down = map[keyType]bool{}, true
+		}, 0},
+		{"the agent of the server is down", func(_ *world, owner, _ *host) { owner.down = true }, 0},
+		{"the server does not answer", func(_ *world, owner, _ *host) { owner.server.silent = true }, 0},
+		{"nothing listens at the server's address", func(_ *world, owner, _ *host) {
+			owner.server = nil
+			owner.agent.Refused()
+		}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := newWorld(t, 4, 1)
+			owner := w.open(w.balancers[0], 1000)
+			p := data(1000, owner.server)
+			var other *host
+			for _, h := range w.hosts {
+				if h != owner {
+					other = h
+				}
+			}
+			row.break_(w, owner, other)
+			w.send(w.balancers[0], p)
+			assert.Equal(t, len(w.resets), row.resets)
+		})
+	}
+}
+
+func TestStaleViewDoesNotReset(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	owner := w.open(w.balancers[0], 1000)
+	p := data(1000, owner.server)
+	owner.server.flows = map[keyType]bool{}
+	w.now += 20 * clock.Second
+	w.send(w.balancers[0], p)
+	assert.Equal(t, len(w.resets), 0)
+	assert.DeepEqual(t, w.drops, []steer.Reason{steer.StaleView})
+}
+
+func TestCopiesOfAFirstPacketOpenAtTwoServersAndOneWins(t *testing.T) {
+	w := newWorld(t, 5, 2)
+	first := w.send(w.balancers[0], steer.Packet{Key: key(1000), First: true})
+	second := w.send(w.balancers[1], steer.Packet{Key: key(1000), First: true, Copy: 1})
+	assert.Assert(t, first != second, "the copy should have gone to another server")
+	for _, b := range w.balancers {
+		assert.Equal(t, w.send(b, data(1000, first.server)), first)
+	}
+}
+
+func TestUnsureWalkEnds(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	owner := w.open(w.balancers[0], 1000)
+	w.tell(steer.Change{Centre: owner.centre, TakenOut: true, Revision: 100})
+	w.now += 6000
+	w.tell()
+	w.offers = 0
+	w.send(w.balancers[1], data(1000, owner.server))
+	assert.Assert(t, w.offers <= len(w.hosts), "%d offers", w.offers)
+	assert.Equal(t, len(w.resets), 0)
+}
+
+func TestPacketsOfAFlowThatCannotBeAskedForReachNoOtherServer(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		hide func(w *world, owner *host)
+	}{
+		{"its data centre was taken out", func(w *world, owner *host) {
+			w.tell(steer.Change{Centre: owner.centre, TakenOut: true, Revision: 100})
+			w.now += 6000
+			w.tell()
+		}},
+		{"its agent is silent", func(w *world, owner *host) {
+			owner.down = true
+			for port := 5000; port < 5100; port++ {
+				w.send(w.balancers[1], steer.Packet{Key: key(port), First: true})
+			}
+			w.now += 200
+			w.balancers[1].Tick(w.now, func(steerID) {})
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := newWorld(t, 9, 2)
+			owner := w.open(w.balancers[0], 1000)
+			row.hide(w, owner)
+			for _, h := range w.hosts {
+				h.restartAgent()
+			}
+			before := w.received()
+			for range 5 {
+				w.send(w.balancers[1], data(1000, owner.server))
+				w.now += 400
+			}
+			// Agents that come before the owner in the flow's order may try their
+			// servers once.
+			assert.Assert(t, w.received()-before <= 2, "%d packets at other servers", w.received()-before)
+			assert.Equal(t, len(w.resets), 0)
+		})
+	}
+}
+
+func TestServerListedAfterTheEvacuationHoldsNothing(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	owner := w.open(w.balancers[0], 1000)
+	p := data(1000, owner.server)
+	w.revision = 100
+	w.tell(steer.Change{Centre: owner.centre, TakenOut: true, Revision: 100})
+	w.now += 6000
+	replaced := w.entry(w.idOf(owner), steer.Serving)
+	replaced.Name, replaced.Created, replaced.Born = "new", replaced.Revision, 1
+	w.tell(steer.Change{Removed: owner.name}, steer.Change{Server: replaced})
+	w.send(w.balancers[0], p)
+	w.balancers[0] = fresh(w, replaced)
+	w.send(w.balancers[0], p)
+	assert.Equal(t, len(w.resets), 1)
+}
+
+// fresh is a balancer that has just listed the store.
+func fresh(w *world, replaced *steer.Server) *steer.Balancer {
+	b := &steer.Balancer{EvacuateBy: 1}
+	listing := []steer.Change{{Config: config(1)}, {Server: replaced}, {Centre: replaced.DataCentre, TakenOut: true, Revision: 100}}
+	for id, h := range w.hosts {
+		if id != replaced.Agent {
+			listing = append(listing, steer.Change{Server: w.entry(id, steer.Serving)})
+			h.restartAgent()
+		}
+	}
+	b.Registry.Heard(w.now)
+	b.Registry.Replace(w.now, listing)
+	w.now += 10
+	return b
+}
--- /dev/null
+++ b/pkg/steer/message_test.go
@@ -0,0 +1,51 @@
+package steer_test
+
+import (
+	"testing"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/place"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMessageSurvivesItsEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		small := rapid.IntRange(0, 1<<16-1)
+		m := steer.Message{
+			Kind: steer.MessageKind(rapid.IntRange(1, 6).Draw(t, "kind")), Reason: steer.Reason(rapid.IntRange(0, 20).Draw(t, "reason")),
+			Final: rapid.Bool().Draw(t, "final"), Unsure: rapid.Bool().Draw(t, "unsure"), KnownOnly: rapid.Bool().Draw(t, "known"),
+			State: steer.ServerState(rapid.IntRange(0, 2).Draw(t, "state")), Service: steer.ServiceID(rapid.Uint32().Draw(t, "service")),
+			Revision: rapid.Uint64().Draw(t, "revision"), ColdRate: small.Draw(t, "rate"), ColdLeft: clock.Millis(small.Draw(t, "left")),
+			Goal: clock.Millis(small.Draw(t, "goal")), Priority: small.Draw(t, "priority"), Load: small.Draw(t, "load"),
+			Slots: small.Draw(t, "slots"), Best: place.ID(rapid.Uint32().Draw(t, "best")), BestLoad: small.Draw(t, "bestLoad"),
+			Key: key(small.Draw(t, "port")), Count: rapid.IntRange(0, steer.MaxVisited).Draw(t, "count"),
+		}
+		for i := range m.Visited[:m.Count] {
+			m.Visited[i] = rapid.Uint32().Draw(t, "visited")
+		}
+		encoded := append(make([]byte, m.Size()), "packet"...)
+		m.Encode(encoded)
+		var got steer.Message
+		rest, err := got.Decode(encoded)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rest), "packet")
+		assert.DeepEqual(t, got, m)
+	})
+}
+
+func FuzzMessageDecode(f *testing.F) {
+	m := steer.Message{Kind: steer.OfferPacket, Count: 2}
+	encoded := make([]byte, m.Size())
+	m.Encode(encoded)
+	f.Add(encoded)
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var got steer.Message
+		rest, err := got.Decode(b)
+		if err == nil && len(rest) != len(b)-got.Size() {
+			t.Fatalf("%d bytes left of %d", len(rest), len(b))
+		}
+	})
+}
--- /dev/null
+++ b/pkg/steer/registry_test.go
@@ -0,0 +1,89 @@
+package steer_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"gotest.tools/v3/assert"
+)
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	var r steer.Registry
+	r.Apply(0, []steer.Change{{Config: config(7)}})
+	notes := r.Apply(1, []steer.Change{{Config: config(5)}})
+	assert.Equal(t, r.View(2).Version, uint64(7))
+	assert.Equal(t, notes[0].State, "stale version ignored")
+	assert.Equal(t, len(r.Apply(3, []steer.Change{{Config: config(7)}})), 0)
+}
+
+// Entries that lapsed while the platform was away return within two seconds of
+// its return. Until then their servers take new flows.
+func TestLapsedEntriesAreWaitedFor(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		wait clock.Millis
+		back bool // the entry is listed again
+		open bool
+	}{
+		{"just back", 1000, false, true},
+		{"still missing after the wait", 3000, false, false},
+		{"listed again", 3000, true, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			w := newWorld(t, 1, 1)
+			h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
+			r := &w.balancers[0].Registry
+			assert.Assert(t, r.Lost())
+			w.now += 5000
+			assert.Assert(t, r.Heard(w.now))
+			r.Replace(w.now, []steer.Change{{Config: config(1)}})
+			w.now += row.wait
+			if row.back {
+				r.Apply(w.now-row.wait/2, []steer.Change{{Server: w.entry(w.idOf(h), steer.Serving)}})
+			}
+			assert.Equal(t, w.open(w.balancers[0], 1000) != nil, row.open)
+		})
+	}
+}
+
+func TestListingReplacesWhatItDoesNotName(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	r := &w.balancers[0].Registry
+	r.Apply(w.now, []steer.Change{{Centre: "dc2", TakenOut: true}})
+	notes := r.Replace(w.now, []steer.Change{{Config: config(1)}})
+	states := map[string]int{}
+	for _, n := range notes {
+		states[n.Subject+" "+n.State]++
+	}
+	assert.DeepEqual(t, states, map[string]int{"server Missing": 3, "data centre in": 1})
+}
+
+func TestOldEntryDoesNotReplaceANewerOne(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	id := steer.AgentOf(netip.MustParseAddr("10.1.0.1"))
+	old := w.entry(id, steer.Serving)
+	w.tell(steer.Change{Server: w.entry(id, steer.Leaving)}, steer.Change{Server: old})
+	assert.Assert(t, w.open(w.balancers[0], 1000) == nil)
+}
+
+func TestNoViewBeforeTheFirstConfiguration(t *testing.T) {
+	var b steer.Balancer
+	assert.Assert(t, !b.Ready(0))
+	var m steer.Message
+	d := b.FromCaller(0, steer.Packet{Key: key(1), First: true}, &m)
+	assert.Equal(t, d.Verdict, steer.Drop)
+	assert.Equal(t, d.Reason, steer.NoView)
+}
+
+func TestRemovedRouteIsRefused(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	owner := w.open(w.balancers[0], 1000)
+	empty := config(2)
+	empty.Routes = nil
+	w.tell(steer.Change{Config: empty})
+	w.send(w.balancers[0], data(1000, owner.server))
+	w.open(w.balancers[0], 1001)
+	assert.Equal(t, len(w.resets), 2)
+}
