--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -1,8 +1,6 @@
 package setup_test
 
 import (
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -15,12 +13,6 @@
   "Outbound": "127.0.0.1:3", "Server": "127.0.0.1:4", "Service": "desk"
 }`
 
-func write(t *testing.T, text string) string {
-	file := filepath.Join(t.TempDir(), "settings.json")
-	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
-	return file
-}
-
 func TestPathSettingsFindings(t *testing.T) {
 	for _, row := range []struct{ name, old, new, want string }{
 		{"good", "", "", ""},
@@ -30,7 +22,7 @@
 		{"unknown level", `"Name": "a"`, `"Name": "a", "LogLevel": "loud"`, "Path.LogLevel"},
 		{"no service", `"desk"`, `""`, "Service"},
 		{"unknown field", `"Service"`, `"Servise"`, "Servise"},
-		{"not JSON", `{`, ``, "settings.json"},
+		{"not JSON", `{`, ``, "agent.json"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			_, err := setup.ReadPathAgent(write(t, strings.Replace(goodAgent, row.old, row.new, 1)))
