Store changes are gathered; a known agent's new server takes flows at once

Change: 400 ms gather, 1 s settle for unknown agents only, 4 s watches with keep-alive probes, the last run behind an agent decides.

--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -17,20 +17,25 @@
 const (
 	// watchWait is how long one watch waits. It bounds the age of the view when
 	// a connection has gone silent.
-	watchWait = 3 * time.Second
+	watchWait = 4 * time.Second
 	// gather is the pause after changes, so that changes close to each other
-	// cost one call.
-	gather = 60 * time.Millisecond
+	// cost one call. Balancers differ by no more than it and a slow answer.
+	gather = 400 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// keepAliveIdle and keepAliveProbes notice a connection that has gone silent
+	// before the watch ends by itself.
+	keepAliveIdle   = time.Second
+	keepAliveProbes = 2
 	// connectTimeout bounds opening a connection to the store.
 	connectTimeout = time.Second
 )
 
 // newStore makes the process's one client of the store.
 func newStore(address string, c clock.Clock, faulty func(string, uint64, error)) *platform.Store {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes}}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	return &platform.Store{Address: address, Client: &http.Client{Transport: transport}, Clock: c, Faulty: faulty}
 }
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -79,9 +79,10 @@
 
 // Times that the registry waits.
 const (
-	// settle is how long a server is known before it gets new flows, so that
-	// every balancer knows of it before the first flow opens there.
-	settle = 250 * clock.Millis(1)
+	// settle is how long the agent of a new server is known before it gets new
+	// flows, so that every balancer asks it for flows before the first one opens
+	// there: balancers gather changes for a few hundred milliseconds.
+	settle = clock.Second
 	// entriesBack is how long entries that lapsed during an outage of the
 	// platform may take to return; the users' pages say about two seconds.
 	entriesBack = 2500 * clock.Millis(1)
@@ -185,8 +186,8 @@
 		return nil
 	}
 	s.known, s.listed = now, !r.listed
-	if old != nil && old.Born == s.Born {
-		s.known, s.listed = old.known, old.listed
+	if before := r.sameAgent(s); before != nil {
+		s.known, s.listed = before.known, before.listed
 	}
 	r.servers[s.Name] = &s
 	if old != nil && old.sameBelief(s) {
@@ -196,6 +197,18 @@
 		Agent: AddrOf(s.Agent), Version: s.Revision, Cold: max(0, s.ColdUntil-now)}}
 }
 
+// sameAgent finds a run of a server that was known earlier behind the same agent
+// and for the same service, so that its agent is asked for flows already.
+func (r *Registry) sameAgent(s Server) *Server {
+	var first *Server
+	for _, other := range r.servers {
+		if other.Agent == s.Agent && other.Service == s.Service && (first == nil || other.known < first.known) {
+			first = other
+		}
+	}
+	return first
+}
+
 // sameBelief reports whether a rewritten entry changes no decision.
 func (s *Server) sameBelief(other Server) bool {
 	return s.missing == 0 && s.Born == other.Born && s.State == other.State && s.Service == other.Service &&
@@ -329,17 +342,23 @@
 		}
 	}
 	open, holders := make(map[string][]place.Member), make(map[string][]place.Member)
-	for _, s := range sorted(r.servers) {
-		state, until := r.stateOf(now, s)
-		v.until = min(v.until, until)
+	servers := sorted(r.servers)
+	for _, s := range servers {
 		add(holders, s)
-		if kept := v.agents[s.Agent]; kept != nil && kept.Born > s.Born {
-			continue
+		if kept := v.agents[s.Agent]; kept == nil || kept.Born <= s.Born {
+			v.agents[s.Agent] = s
+		}
+	}
+	for _, s := range servers {
+		if v.agents[s.Agent] != s {
+			continue // an earlier run behind the same agent
 		}
 		shown := *s
-		shown.State = state
+		var until clock.Millis
+		shown.State, until = r.stateOf(now, s)
+		v.until = min(v.until, until)
 		v.agents[s.Agent] = &shown
-		if _, gone := r.out[s.DataCentre]; state == Serving && !gone && r.settled(now, s) {
+		if _, gone := r.out[s.DataCentre]; shown.State == Serving && !gone && r.settled(now, s) {
 			add(open, s)
 		}
 	}
