--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -84,8 +84,10 @@
 	// there: balancers gather changes for a few hundred milliseconds.
 	settle = clock.Second
 	// entriesBack is how long entries that lapsed during an outage of the
-	// platform may take to return; the users' pages say about two seconds.
-	entriesBack = 2500 * clock.Millis(1)
+	// platform may take to return: about two seconds. An outage need not show, so
+	// every server whose entry goes without draining is believed for that long;
+	// its agent knows better if it has ended.
+	entriesBack = 2200 * clock.Millis(1)
 	// missingKept is how long a server without an entry is still asked for its
 	// flows: the users' longest life of a flow.
 	missingKept = 60 * clock.Second
@@ -399,9 +401,8 @@
 		}
 		return s.State, never
 	}
-	lapsed := r.back != 0 && s.missing-r.back < entriesBack && s.missing >= r.back
-	if s.State == Serving && lapsed && now < r.back+entriesBack {
-		return Serving, r.back + entriesBack
+	if doubt := s.missing + entriesBack; s.State == Serving && now < doubt {
+		return Serving, doubt
 	}
 	return Missing, s.missing + missingKept
 }
