--- a/cmd/dogpath/main.go
+++ b/cmd/dogpath/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"dogwoodlanding.example/dogwood/internal/lines"
 	"dogwoodlanding.example/dogwood/internal/path"
 	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/internal/trace"
 	"github.com/alexflint/go-arg"
 	"github.com/charmbracelet/log"
 )
@@ -22,10 +24,18 @@
 	Settings string `arg:"--settings,required" help:"JSON settings file"`
 }
 
+// traceArgs are the arguments of the look into logs.
+type traceArgs struct {
+	Flow    string   `arg:"--flow,required" help:"caller's address and port, or both ends as the logs write them"`
+	Beliefs bool     `arg:"--beliefs" help:"also changes of belief and of dependencies"`
+	Logs    []string `arg:"positional,required" help:"log files"`
+}
+
 // args are the sub-commands.
 type args struct {
 	Balancer *daemonArgs `arg:"subcommand:balancer" help:"run a balancer on an entry host"`
 	Agent    *daemonArgs `arg:"subcommand:agent" help:"run an agent beside a backend server"`
+	Trace    *traceArgs  `arg:"subcommand:trace" help:"collect what the logs say of one flow"`
 }
 
 // Description is printed above the usage.
@@ -55,6 +65,8 @@
 // run executes one sub-command.
 func run(ctx context.Context, a args, out *lines.Writer) error {
 	switch {
+	case a.Trace != nil:
+		return traceFlow(os.Stdout, *a.Trace)
 	case a.Balancer != nil:
 		settings, err := setup.ReadPathBalancer(a.Balancer.Settings)
 		if err != nil {
@@ -70,7 +82,28 @@
 		agent := &path.Agent{Settings: settings, File: a.Agent.Settings, Log: logger(settings.Path, out)}
 		return agent.Run(ctx)
 	}
-	return fmt.Errorf("name a sub-command: balancer or agent")
+	return fmt.Errorf("name a sub-command: balancer, agent or trace")
+}
+
+// traceFlow prints what the logs say of one flow.
+func traceFlow(w io.Writer, a traceArgs) error {
+	var lines []trace.Line
+	for _, name := range a.Logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		read, err := trace.Read(file)
+		file.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, read...)
+	}
+	for _, l := range trace.Select(lines, a.Flow, a.Beliefs) {
+		fmt.Fprintln(w, l.Text)
+	}
+	return nil
 }
 
 // logger makes the structured log of a daemon.
--- a/pkg/flow/key.go
+++ b/pkg/flow/key.go
@@ -46,7 +46,10 @@
 	return xxhash.Sum64(b[:])
 }
 
-// String formats the key for logs.
+// String formats the key for logs. The protocol is left out if it is not known.
 func (k Key) String() string {
+	if k.Protocol == 0 {
+		return fmt.Sprintf("%s->%s", k.Source(), k.Target())
+	}
 	return fmt.Sprintf("%d:%s->%s", k.Protocol, k.Source(), k.Target())
 }
