--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -86,7 +85,7 @@
 }
 
 func (f *fleet) configure(version int) {
-	f.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","backend":"desk","slo_ms":500}],"backends":[{"name":"desk"}]}`, version))
+	f.store.Configure(version, service, "desk")
 }
 
 // at is the address of a host of the test.
@@ -96,7 +95,7 @@
 }
 
 func (f *fleet) publish(i int, state string) {
-	f.store.PutJSON(fmt.Sprintf("servers/s%d", i), stand.Entry{Backend: "desk", Addr: f.at("server", i, serverPort).String(), Zone: fmt.Sprint("dc", i%3), Slots: 4, State: state, Born: int64(i + 1)})
+	f.store.Publish(fmt.Sprint("s", i), stand.Entry{Backend: "desk", Addr: f.at("server", i, serverPort).String(), Zone: fmt.Sprint("dc", i%3), Slots: 4, State: state, Born: int64(i + 1)})
 }
 
 func (f *fleet) startServer(i int) {
@@ -137,13 +136,7 @@
 }
 
 func (f *fleet) ready(i int) bool {
-	response, err := http.Get("http://" + f.at("balancer", i, readyPort).String() + "/-/ready")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode == http.StatusOK
+	return stand.Ready(http.DefaultClient, f.at("balancer", i, readyPort))
 }
 
 func (f *fleet) eventually(holds func() bool, format string, args ...any) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -92,7 +92,7 @@
 	s.checks.storeTouched()
 	for _, h := range s.hosts {
 		h.mu.Lock()
-		s.store.Remove("servers/" + h.name)
+		s.store.Withdraw(h.name)
 		h.mu.Unlock()
 	}
 	time.Sleep(time.Second)
@@ -127,7 +127,7 @@
 	old := h.name
 	h.mu.Unlock()
 	time.Sleep(down)
-	s.store.Remove("servers/" + old)
+	s.store.Withdraw(old)
 	if err := s.startServer(h); err != nil {
 		s.checks.fail("server of host %d does not start: %v", h.index, err)
 	}
@@ -159,8 +159,8 @@
 	if !s.checks.takeOut(centre) {
 		return
 	}
-	s.store.Put("op/evacuate/"+centre, []byte("{}"))
+	s.store.Evacuate(centre, true)
 	time.Sleep(s.between(6*time.Second, 9*time.Second))
-	s.store.Remove("op/evacuate/" + centre)
+	s.store.Evacuate(centre, false)
 	s.checks.takeBack(centre)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -97,7 +97,7 @@
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.store = &stand.Store{}
 	s.storeWeb = httptest.NewServer(s.store.Handler())
-	s.store.Put("op/config", []byte(`{"version":1,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","backend":"desk","slo_ms":500}],"backends":[{"name":"desk"}]}`))
+	s.store.Configure(1, service, "desk")
 	for i := range s.Servers {
 		h := &host{index: i, centre: fmt.Sprint("dc", i%3)}
 		if err := s.startServer(h); err != nil {
@@ -206,7 +206,7 @@
 
 func (s *Soak) publish(h *host) {
 	h.since = time.Now()
-	s.store.PutJSON("servers/"+h.name, stand.Entry{Backend: "desk", Addr: s.addr(2, h.index, serverPort).String(), Zone: h.centre,
+	s.store.Publish(h.name, stand.Entry{Backend: "desk", Addr: s.addr(2, h.index, serverPort).String(), Zone: h.centre,
 		Slots: 4, State: h.state, Born: h.changed.UnixMilli()})
 }
 
@@ -217,7 +217,7 @@
 	defer ticker.Stop()
 	for {
 		for i, f := range s.fronts {
-			ready := s.ask(client, i)
+			ready := stand.Ready(client, s.addr(1, i, readyPort))
 			f.mu.Lock()
 			f.misses++
 			if ready {
@@ -234,15 +234,6 @@
 	}
 }
 
-func (s *Soak) ask(client *http.Client, i int) bool {
-	response, err := client.Get("http://" + s.addr(1, i, readyPort).String() + "/-/ready")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // route picks the balancer of a flow's packet, by the number of balancers that
 // are in rotation.
 func (s *Soak) route(flow netip.AddrPort) netip.AddrPort {
