Cold limits below one a second hold; a restarted server is cold before told

Cause: read in review: a declared limit between 0 and 1 was sent as 0, which means none; a server that starts again in place got everything until its entry was rewritten. Change: the limit goes with every offer, at least 1; a returned packet of a known flow starts two cold seconds.

--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -147,6 +148,9 @@
 		if n.Name != "" {
 			fields = append(fields, "name", n.Name)
 		}
+		if n.Count > 0 {
+			fields = append(fields, "routes", n.Count, "services", fmt.Sprint(n.Services))
+		}
 		if n.Agent.IsValid() {
 			fields = append(fields, "service", n.Service, "dataCentre", n.DataCentre, "agent", n.Agent, "cold", n.Cold)
 		}
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -28,6 +28,9 @@
 	mostOpening  = 400 * clock.Millis(1)
 	// openingTrips is how many usual times a late request may take.
 	openingTrips = 4
+	// coldUntilTold is how long a server that has forgotten its flows counts as
+	// cold before a balancer has told so: the time that its entry takes.
+	coldUntilTold = 2 * clock.Second
 	// ackWindow is how far beyond the server's first number a caller's
 	// acknowledgement may be for the flow to be this server's.
 	ackWindow = 1 << 24
@@ -161,8 +164,9 @@
 	if m.Slots > 0 {
 		a.Slots = m.Slots
 	}
+	a.coldRate = m.ColdRate
 	if m.ColdLeft > 0 {
-		a.coldTill, a.coldRate = max(a.coldTill, now+m.ColdLeft), m.ColdRate
+		a.coldTill = max(a.coldTill, now+m.ColdLeft)
 	}
 }
 
@@ -412,6 +416,7 @@
 	}
 	if e.phase == opened && e.known {
 		a.counts.Restarts++
+		a.coldTill = max(a.coldTill, now+coldUntilTold)
 	}
 	m.Count, m.Best, m.BestLoad, m.Unsure, m.Final = 0, 0, 0, false, false
 	if e.message != nil {
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -326,14 +326,12 @@
 	return Decision{Verdict: Offer, Reason: m.Reason, To: to, Server: s}
 }
 
+// tellCold fills in what the server bears while it is cold, and for how long.
 func (b *Balancer) tellCold(now clock.Millis, view *View, s *Server, m *Message) {
-	if s.ColdUntil <= now {
-		return
-	}
-	m.ColdLeft = s.ColdUntil - now
-	if pool := view.services[s.Service]; pool != nil {
-		m.ColdRate = int(pool.coldRate)
+	if pool := view.services[s.Service]; pool != nil && pool.coldRate > 0 {
+		m.ColdRate = max(1, int(pool.coldRate))
 	}
+	m.ColdLeft = max(0, s.ColdUntil-now)
 }
 
 // ask notes that an agent owes an answer.
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -37,7 +37,7 @@
 	State     ServerState  // of the agent's server, as the balancer knows it
 	Service   ServiceID    // that the packet is for
 	Revision  uint64       // of what the balancer knows of the agent's server
-	ColdRate  int          // new flows a second that the server bears while it is cold
+	ColdRate  int          // new flows a second that the server bears while it is cold, 0 if not said
 	ColdLeft  clock.Millis // how long it stays cold, 0 if it is warm
 	Goal      clock.Millis // response-time goal of the request that a new flow carries
 	Priority  int          // of that request, 0 is the most urgent
--- a/pkg/steer/opening_test.go
+++ b/pkg/steer/opening_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// A server that has forgotten its flows has started again: it counts as cold
+// before its entry says so.
+func TestRestartedServerIsColdBeforeItsEntrySaysSo(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	h := w.open(w.balancers[0], 1000)
+	p := data(1000, h.server)
+	h.server = newServer(9 << 20)
+	w.send(w.balancers[0], p)
+	for port := 2000; port < 2050; port++ {
+		if w.open(w.balancers[0], port) != nil {
+			w.send(w.balancers[0], data(port, h.server))
+		}
+		w.now += 10
+	}
+	assert.Assert(t, len(h.server.opened) <= 10, "%d new flows within half a second", len(h.server.opened))
+}
+
 func TestNewServerWaitsUntilEveryBalancerKnowsIt(t *testing.T) {
 	w := newWorld(t, 2, 1)
 	added := steer.AgentOf(netip.MustParseAddr("10.1.0.99"))
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -252,7 +252,7 @@
 	}
 	r.config = &c
 	r.view = nil
-	return []Note{{Subject: "configuration", State: "in force", Version: c.Version, Count: len(c.Routes)}}
+	return []Note{{Subject: "configuration", State: "in force", Version: c.Version, Count: len(c.Routes), Services: c.Services}}
 }
 
 func (r *Registry) centre(now clock.Millis, c Change) []Note {
@@ -279,6 +279,7 @@
 	Version    uint64
 	Count      int
 	Cold       clock.Millis
+	Services   []Service // of a configuration
 }
 
 // View returns the present view, which is replaced when something changes or a
