--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,8 @@
 
 test: check
 	go test -race -count=1 -timeout 5m work
+	go build -o bin/ ./cmd/dogpath ./cmd/doghunt
+	./bin/doghunt --seed 1 --seconds 6 --block 120
 
 demo: build
 	rm -rf out/demo
@@ -31,6 +33,14 @@
 		seed=$$((seed + 1)); \
 	done
 
+# The fault soak with real processes: make hunt SEED=1 SEEDS=10 SECONDS=20
+SEEDS ?= 5
+SECONDS ?= 20
+.PHONY: hunt
+hunt:
+	go build -o bin/ ./cmd/dogpath ./cmd/doghunt
+	./bin/doghunt --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 bench:
 	go test work -run xxx -bench . -benchtime 1s
 
--- a/cmd/dogpath/main.go
+++ b/cmd/dogpath/main.go
@@ -72,14 +72,14 @@
 		if err != nil {
 			return err
 		}
-		b := &path.Balancer{Settings: settings, File: a.Balancer.Settings, Log: logger(settings.Path, out)}
+		b := &path.Balancer{Settings: settings, File: a.Balancer.Settings, Log: logger(settings.Path, out), Dropped: out.Dropped}
 		return b.Run(ctx)
 	case a.Agent != nil:
 		settings, err := setup.ReadPathAgent(a.Agent.Settings)
 		if err != nil {
 			return err
 		}
-		agent := &path.Agent{Settings: settings, File: a.Agent.Settings, Log: logger(settings.Path, out)}
+		agent := &path.Agent{Settings: settings, File: a.Agent.Settings, Log: logger(settings.Path, out), Dropped: out.Dropped}
 		return agent.Run(ctx)
 	}
 	return fmt.Errorf("name a sub-command: balancer, agent or trace")
--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -31,6 +31,7 @@
 	File     string // that the settings are read from again, if not empty
 	Log      *log.Logger
 	Clock    clock.Clock
+	Dropped  func() uint64 // log lines that were dropped, if it can be told
 
 	mu        sync.Mutex // guards core, journal and balancers
 	core      steer.Agent
@@ -44,6 +45,8 @@
 	set       *metrics.Set
 	delivered *metrics.Counter
 	toCaller  *metrics.Counter
+	answer    *metrics.Histogram // from a request to the first byte of its answer
+	waited    *metrics.Histogram // of first packets that waited
 }
 
 func (a *Agent) init() error {
@@ -72,8 +75,12 @@
 
 func (a *Agent) metrics() {
 	a.set = metrics.NewSet()
+	countDropped(a.set, a.Dropped)
 	a.delivered = a.set.NewCounter("dogwood_agent_delivered_total")
 	a.toCaller = a.set.NewCounter("dogwood_agent_to_caller_total")
+	a.answer = a.set.NewHistogram("dogwood_agent_answer_seconds")
+	a.waited = a.set.NewHistogram("dogwood_agent_wait_seconds")
+	a.core.Answered = func(took clock.Millis) { a.answer.Update(took.Duration().Seconds()) }
 	for name, read := range map[string]func(steer.Counts) uint64{
 		"opened":     func(c steer.Counts) uint64 { return c.Opened },
 		"denied":     func(c steer.Counts) uint64 { return c.Denied },
@@ -208,6 +215,7 @@
 		if !ok {
 			break
 		}
+		a.waited.Update(r.Waited.Duration().Seconds())
 		a.journal.line(now, "waited", "flow", r.Packet.Key, "decision", cause(r.Outcome.Verdict, r.Outcome.Reason),
 			"waited", r.Waited, "load", a.core.Load(), "slots", a.core.Slots)
 		raw := append(make([]byte, headRoom, headRoom+len(r.Raw)), r.Raw...)
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -31,6 +31,7 @@
 	File     string // that the settings are read from again, if not empty
 	Log      *log.Logger
 	Clock    clock.Clock
+	Dropped  func() uint64 // log lines that were dropped, if it can be told
 
 	mu          sync.Mutex // guards core, journal, wake, changed and leaving
 	core        steer.Balancer
@@ -70,6 +71,7 @@
 	b.journal = newJournal(b.Log)
 	b.refresh, b.listed = make(chan struct{}, 1), make(chan struct{})
 	set := metrics.NewSet()
+	countDropped(set, b.Dropped)
 	b.counters = balancerCounters{
 		set: set, verdicts: make(map[string]*metrics.Counter),
 		storeCall: set.NewCounter("dogwood_store_calls_total"),
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -69,6 +69,13 @@
 	return nil
 }
 
+// countDropped shows the log lines that were dropped, if the log can tell.
+func countDropped(set *metrics.Set, dropped func() uint64) {
+	if dropped != nil {
+		set.NewGauge("dogwood_log_lines_dropped_total", func() float64 { return float64(dropped()) })
+	}
+}
+
 // metricsHandler serves a set of metrics.
 func metricsHandler(set *metrics.Set) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -27,6 +28,7 @@
 	readyPort    = 17712
 	serverPort   = 17713
 	outboundPort = 17714
+	metricsPort  = 17715
 )
 
 var service = netip.MustParseAddrPort("198.18.0.1:443")
@@ -108,7 +110,7 @@
 }
 
 func (f *fleet) process(kind string, i int) setup.Path {
-	return setup.Path{Name: fmt.Sprint(kind, i), Host: f.at(kind, i, 0).Addr().String(), Packets: f.at(kind, i, packetPort).String(), Ready: f.at(kind, i, readyPort).String()}
+	return setup.Path{Name: fmt.Sprint(kind, i), Host: f.at(kind, i, 0).Addr().String(), Packets: f.at(kind, i, packetPort).String(), Ready: f.at(kind, i, readyPort).String(), Metrics: f.at(kind, i, metricsPort).String()}
 }
 
 func (f *fleet) run(name string, run func(context.Context) error) {
@@ -240,6 +242,22 @@
 	}
 }
 
+func TestMetricsPages(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.open("request")
+	for _, row := range []struct{ kind, want string }{
+		{"balancer", `dogwood_balancer_packets_total{verdict="Offer",reason="NewFlow"} 1`},
+		{"server", "dogwood_agent_answer_seconds_count 1"},
+	} {
+		response, err := http.Get("http://" + f.at(row.kind, 0, metricsPort).String() + "/metrics")
+		assert.NilError(t, err)
+		page, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(string(page), row.want), "%s", page)
+	}
+}
+
 func TestForgottenHistoryIsListedAgain(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	f.store.Remove("servers/s0")
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -88,6 +88,9 @@
 type Agent struct {
 	Service ServiceID
 	Slots   int // 0 until a balancer has said it
+	// Answered is called with the time of each answer, from the request to its
+	// first byte, if set.
+	Answered func(took clock.Millis)
 
 	flows    map[flow.Key]*entry
 	load     int // requests in progress, and flows that are about to bring one
@@ -383,6 +386,9 @@
 func (a *Agent) trackServer(now clock.Millis, p Packet, e *entry) {
 	if p.Bytes > 0 && e.working {
 		a.sample(now - e.began)
+		if a.Answered != nil {
+			a.Answered(now - e.began)
+		}
 		a.setWorking(e, false, now)
 	}
 	if p.Last {
@@ -440,7 +446,7 @@
 // Replace says that the server now belongs to another service: nothing that was
 // learned holds for it.
 func (a *Agent) Replace(service ServiceID) {
-	*a = Agent{Service: service, counts: a.counts, leaving: a.leaving}
+	*a = Agent{Service: service, Answered: a.Answered, counts: a.counts, leaving: a.leaving}
 }
 
 // Leave says that this process is about to end: no new flows.
