Two flows ahead of the slots; first packets wait 600 ms at most

Two test bounds followed from the old constants: the urgent request is compared with those that wait when it comes, and the queue of the hopeless case must hold what two slots bear in 600 ms. Both are as strict for the constants in force.

--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -10,12 +10,14 @@
 
 // Limits of the queue of first packets.
 const (
-	// longestWait is how long a first packet may wait for a free slot. A caller
-	// gives up opening after 1.4 s, and its answer must still find it there.
-	longestWait = 1200 * clock.Millis(1)
-	// slotsAhead divides the slots of a server: so many flows more than it has
-	// slots are opened, since a slot is idle while a caller learns that its
-	// flow is open and sends its request.
+	// longestWait is how long a first packet may wait for a free slot: less than
+	// half of the 1.4 s that a caller tries to open, so that one which is refused
+	// still has time for another attempt.
+	longestWait = 600 * clock.Millis(1)
+	// leastAhead and slotsAhead say how many flows more than a server has slots
+	// are opened, a number and a divisor of the slots: a slot is idle while a
+	// caller learns that its flow is open and sends its request.
+	leastAhead = 2
 	slotsAhead = 4
 )
 
@@ -98,7 +100,7 @@
 
 // free reports whether the server may get one more flow now.
 func (a *Agent) free() bool {
-	return a.Slots == 0 || a.load < a.Slots+max(1, a.Slots/slotsAhead)
+	return a.Slots == 0 || a.load < a.Slots+max(leastAhead, a.Slots/slotsAhead)
 }
 
 // enqueue keeps a first packet until a slot is free.
