Servers stay in use while their entries cannot be seen to return

Ruled out: a wrong drain (servers and agents were untouched). Change: the wait for a lapsed entry does not end while the store does not answer, and begins anew when it does.

--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -133,7 +133,7 @@
 func (b *Balancer) storeLost(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.core.Registry.Lost() {
+	if b.core.Registry.Lost(b.Clock.Now()) {
 		b.Log.Warn("store lost", "err", err)
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -98,7 +98,9 @@
 	time.Sleep(time.Second)
 	for _, h := range s.hosts {
 		h.mu.Lock()
-		s.publish(h)
+		if h.state != "gone" {
+			s.publish(h)
+		}
 		h.mu.Unlock()
 	}
 	s.checks.storeTouched()
@@ -121,6 +123,8 @@
 
 // replace ends the present run of a server and starts the next one.
 func (s *Soak) replace(h *host, down time.Duration) {
+	h.replacing.Lock()
+	defer h.replacing.Unlock()
 	h.mu.Lock()
 	h.server.Stop()
 	h.state, h.changed = "gone", time.Now()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -71,6 +71,8 @@
 	centre string
 	agent  *process
 
+	replacing sync.Mutex // held while its server is replaced
+
 	mu      sync.Mutex
 	server  *stand.Server
 	name    string
--- a/pkg/steer/registry_test.go
+++ b/pkg/steer/registry_test.go
@@ -40,7 +40,7 @@
 			h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
 			r := &w.balancers[0].Registry
 			if row.seen {
-				assert.Assert(t, r.Lost())
+				assert.Assert(t, r.Lost(w.now))
 				w.now += 5000
 				assert.Assert(t, r.Heard(w.now))
 				r.Replace(w.now, []steer.Change{{Config: config(1)}})
@@ -56,6 +56,25 @@
 	}
 }
 
+// The platform fails again before the entries are seen to return.
+func TestEntriesThatCannotBeSeenToReturnAreWaitedFor(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	b := w.balancers[0]
+	h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
+	b.Registry.Apply(w.now, []steer.Change{{Removed: h.name}})
+	w.now += 1000
+	b.Registry.Lost(w.now)
+	w.now += 5000
+	assert.Assert(t, w.open(b, 1000) != nil, "while the platform is away")
+	b.Registry.Heard(w.now)
+	w.now += 1000
+	assert.Assert(t, w.open(b, 1001) != nil, "just after its return")
+	w.now += 2000
+	assert.Assert(t, w.open(b, 1002) == nil, "when the entry should be back")
+	b.Registry.Lost(w.now)
+	assert.Assert(t, w.open(b, 1003) == nil, "a later outage changes nothing")
+}
+
 func TestListingReplacesWhatItDoesNotName(t *testing.T) {
 	w := newWorld(t, 3, 1)
 	r := &w.balancers[0].Registry
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -104,6 +104,7 @@
 	out     map[string]outage // data centres that have been taken out
 	heard   clock.Millis      // last word of the platform
 	lost    bool              // the platform does not answer
+	lostAt  clock.Millis      // when it last ceased to answer
 	back    clock.Millis      // when it last answered again
 	listed  bool
 	view    *View
@@ -122,15 +123,17 @@
 	if !r.lost {
 		return false
 	}
-	r.lost, r.back = false, now
+	r.lost, r.back, r.view = false, now, nil
 	return true
 }
 
 // Lost notes that the platform does not answer. It reports whether that is new.
-func (r *Registry) Lost() bool {
-	was := r.lost
-	r.lost = true
-	return !was
+func (r *Registry) Lost(now clock.Millis) bool {
+	if r.lost {
+		return false
+	}
+	r.lost, r.lostAt, r.view = true, now, nil
+	return true
 }
 
 // Replace takes a whole listing. Servers that it does not name are removed.
@@ -402,12 +405,25 @@
 		}
 		return s.State, never
 	}
-	if doubt := s.missing + entriesBack; s.State == Serving && now < doubt {
-		return Serving, doubt
+	if until := r.doubt(s); s.State == Serving && now < until {
+		return Serving, until
 	}
 	return Missing, s.missing + missingKept
 }
 
+// doubt is until when a server whose entry has gone may still be there. While
+// the platform does not answer, the entry cannot be seen to return.
+func (r *Registry) doubt(s *Server) clock.Millis {
+	until := s.missing + entriesBack
+	switch {
+	case r.lostAt == 0 || r.lostAt >= until:
+		return until
+	case r.lost:
+		return never
+	}
+	return max(until, r.back+entriesBack)
+}
+
 func (r *Registry) settled(now clock.Millis, s *Server) bool {
 	return s.listed || now-s.known >= settle
 }
