Large services: every server is asked, and a search is bounded

Cause: read in review: the order ranks 64 servers, so a flow at the 65th was reset. The test for it then found a second fault: the agent that had held the flow answered with the message of the first packet, so the search began anew (131 offers for 200 servers). Change: after the ranked agents the others are asked; 96 denials end in silence; an agent keeps the message of the packet that its server may return.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,12 @@
 	go build -o bin/ ./cmd/dogpath ./cmd/doghunt
 	./bin/doghunt --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
+# The seeds that failed once, each with its cause in the file.
+.PHONY: hunt-again
+hunt-again:
+	go build -o bin/ ./cmd/dogpath ./cmd/doghunt
+	./bin/doghunt --again internal/soak/testdata/seeds.txt --seconds $(SECONDS)
+
 bench:
 	go test work -run xxx -bench . -benchtime 1s
 
--- a/cmd/doghunt/main.go
+++ b/cmd/doghunt/main.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/soak"
@@ -23,24 +25,57 @@
 	Servers   int     `arg:"--servers" default:"6"`
 	Callers   int     `arg:"--callers" default:"12"`
 	Block     byte    `arg:"--block" default:"90" help:"second byte of the loopback addresses"`
+	Again     string  `arg:"--again" help:"play the seeds at the line starts of this file"`
 	Verbose   bool    `arg:"--verbose" help:"print each fault"`
 }
 
 func main() {
 	var a args
 	arg.MustParse(&a)
+	seeds, err := a.seeds()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
 	failed := 0
-	for i := range a.Seeds {
-		if !run(a, a.Seed+uint64(i)) {
+	for _, seed := range seeds {
+		if !run(a, seed) {
 			failed++
 		}
 	}
-	fmt.Printf("%d passed, %d failed\n", a.Seeds-failed, failed)
+	fmt.Printf("%d passed, %d failed\n", len(seeds)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
+// seeds lists the seeds to play.
+func (a args) seeds() ([]uint64, error) {
+	var out []uint64
+	if a.Again == "" {
+		for i := range a.Seeds {
+			out = append(out, a.Seed+uint64(i))
+		}
+		return out, nil
+	}
+	text, err := os.ReadFile(a.Again)
+	if err != nil {
+		return nil, fmt.Errorf("read seeds: %w", err)
+	}
+	for i, line := range strings.Split(string(text), "\n") {
+		number, _, _ := strings.Cut(line, " ")
+		if number == "" || strings.HasPrefix(number, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %q is not a seed", a.Again, i+1, number)
+		}
+		out = append(out, seed)
+	}
+	return out, nil
+}
+
 // run plays one seed and reports whether every promise held.
 func run(a args, seed uint64) bool {
 	dir := filepath.Join(a.Dir, fmt.Sprint(seed))
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -278,10 +278,13 @@
 	case e.phase == denied: // for good: a flow opens by a first packet only
 		e.seen = now
 		return a.deny(from, m, NotHeld)
-	case e.phase == trying:
-		*e.message = *m
 	case e.known && p.HasAck && p.Ack-e.firstAck > ackWindow:
 		return a.deny(from, m, Misplaced)
+	case e.phase == trying, m.Count > 0:
+		e.keep(m)
+	}
+	if m.Count == 0 && e.phase == opened {
+		e.message = nil
 	}
 	e.from, e.seen = from, now
 	e.asked = e.asked || m.Reason == Searching
@@ -294,6 +297,15 @@
 	return out
 }
 
+// keep remembers the message of a packet that the server may return, so that the
+// agents which denied it before are not asked again.
+func (e *entry) keep(m *Message) {
+	if e.message == nil {
+		e.message = new(Message)
+	}
+	*e.message = *m
+}
+
 // track follows the caller's half of a flow.
 func (a *Agent) track(now clock.Millis, p Packet, e *entry) {
 	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.lastSeq == 0 || int32(end-e.lastSeq) > 0) {
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -225,13 +225,16 @@
 // hold it. When all have denied it for certain, nobody holds it.
 func (b *Balancer) search(now clock.Millis, view *View, route *Route, hash uint64, p Packet, m *Message) Decision {
 	m.Reason = Searching
+	if m.Count == MaxVisited {
+		return Decision{Verdict: Drop, Reason: TooMany}
+	}
 	h := b.holders(now, view, route, hash, m)
 	if h.next != 0 {
 		m.KnownOnly = m.KnownOnly || h.passed || h.hidden && m.Count >= mostTries
 		return b.offer(now, view, p, m, h.next, h.service)
 	}
 	if h.silent != 0 && !b.presumedGone(now, view, h.silent) {
-		return b.offer(now, view, p, m, h.silent, h.service)
+		return b.offer(now, view, p, m, h.silent, h.silentService)
 	}
 	switch {
 	case p.Reset || p.Last && p.Bytes == 0 && m.Count == 0:
@@ -246,48 +249,52 @@
 
 // holding is what a look at the agents whose servers may hold a flow found.
 type holding struct {
-	next    place.ID // to ask now, 0 if none is left
-	silent  place.ID // first one that does not answer, if none is left
-	service string   // of next or silent
-	passed  bool     // one that cannot be asked comes before next
-	hidden  bool     // some cannot be asked
-	closed  bool     // some are in a data centre that was taken out
+	next          place.ID // to ask now, 0 if none is left
+	silent        place.ID // first one that does not answer, if none is left
+	service       string   // of next
+	silentService string   // of silent
+	passed        bool     // one that cannot be asked comes before next
+	hidden        bool     // some cannot be asked
+	closed        bool     // some are in a data centre that was taken out
 }
 
 // holders looks for the next agent to ask in the flow's order.
 func (b *Balancer) holders(now clock.Millis, view *View, route *Route, hash uint64, m *Message) holding {
 	var h holding
-	var silentService string
 	for _, target := range route.Targets {
 		pool := view.services[target.Service]
 		if pool == nil {
 			continue
 		}
-		if pool.holders.Len() > MaxVisited/len(route.Targets) {
-			m.Unsure = true
-		}
 		var ranked [MaxVisited]place.ID
 		for _, id := range ranked[:pool.holders.Rank(hash, ranked[:])] {
-			switch {
-			case m.visited(id), view.empty(id):
-			case b.closed(now, view, id):
-				h.closed, h.hidden = true, true
-			case b.agents[id] != nil && b.agents[id].silent:
-				h.hidden = true
-				if h.silent == 0 {
-					h.silent, silentService = id, target.Service
-				}
-			case h.next == 0:
-				h.next, h.service, h.passed = id, target.Service, h.hidden
+			b.consider(now, view, id, target.Service, m, &h)
+		}
+		if h.next == 0 { // the order ends before the list of a large service does
+			for _, id := range pool.holders.IDs() {
+				b.consider(now, view, id, target.Service, m, &h)
 			}
 		}
 	}
-	if h.next == 0 {
-		h.service = silentService
-	}
 	return h
 }
 
+// consider looks at one agent that may be the next to ask.
+func (b *Balancer) consider(now clock.Millis, view *View, id place.ID, service string, m *Message, h *holding) {
+	switch {
+	case m.visited(id), view.empty(id):
+	case b.closed(now, view, id):
+		h.closed, h.hidden = true, true
+	case b.agents[id] != nil && b.agents[id].silent:
+		h.hidden = true
+		if h.silent == 0 {
+			h.silent, h.silentService = id, service
+		}
+	case h.next == 0:
+		h.next, h.service, h.passed = id, service, h.hidden
+	}
+}
+
 // presumedGone reports whether a silent agent's server is no longer listed
 // either, although the platform has been steady for long enough.
 func (b *Balancer) presumedGone(now clock.Millis, view *View, id place.ID) bool {
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"net/netip"
 	"testing"
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
@@ -157,6 +158,46 @@
 	}
 }
 
+// A flow is found among more servers than an order ranks, and a search among
+// more than one packet can be offered to ends in silence.
+func TestSearchAmongManyServers(t *testing.T) {
+	for _, row := range []struct {
+		servers int
+		lost    bool // the server has forgotten the flow
+		resets  int
+	}{{80, false, 0}, {80, true, 1}, {200, true, 0}} {
+		w := newWorld(t, row.servers, 2)
+		for port := 1000; port < 1020; port++ {
+			owner := w.openAtOnlyChoice(w.balancers[0], port)
+			if row.lost {
+				owner.server.flows = map[keyType]bool{}
+			}
+			w.offers, w.resets = 0, nil
+			found := w.send(w.balancers[1], data(port, owner.server))
+			assert.Equal(t, found == owner, !row.lost)
+			assert.Equal(t, len(w.resets), row.resets)
+			assert.Assert(t, w.offers <= steer.MaxVisited, "%d offers", w.offers)
+		}
+	}
+}
+
+// openAtOnlyChoice opens a flow while all servers but one drain, so that its
+// owner may stand anywhere in its order later.
+func (w *world) openAtOnlyChoice(b *steer.Balancer, port int) *host {
+	only := w.idOf(w.hosts[steer.AgentOf(netip.AddrFrom4([4]byte{10, byte(port%len(w.hosts)%3 + 1), 0, byte(port%len(w.hosts) + 1)}))])
+	for id := range w.hosts {
+		if id != only {
+			w.tell(steer.Change{Server: w.entry(id, steer.Leaving)})
+		}
+	}
+	w.tell(steer.Change{Server: w.entry(only, steer.Serving)})
+	owner := w.open(b, port)
+	for id := range w.hosts {
+		w.tell(steer.Change{Server: w.entry(id, steer.Serving)})
+	}
+	return owner
+}
+
 // openAtThirdChoice opens a flow while its first two choices return first
 // packets.
 func (w *world) openAtThirdChoice(b *steer.Balancer, port int) *host {
--- a/pkg/steer/reason_string.go
+++ b/pkg/steer/reason_string.go
@@ -30,13 +30,14 @@
 	_ = x[StaleView-19]
 	_ = x[Woken-20]
 	_ = x[Malformed-21]
-	_ = x[Queued-22]
-	_ = x[Misplaced-23]
+	_ = x[TooMany-22]
+	_ = x[Queued-23]
+	_ = x[Misplaced-24]
 }
 
-const _Reason_name = "NoneNewFlowKnownOwnerSearchingNoRouteNoViewNoServerNotHeldNotKnownWrongServiceServerGoneServerSilentServerFullBusyOverloadedColdDrainingEveryoneDeniedOutOfServiceStaleViewWokenMalformedQueuedMisplaced"
+const _Reason_name = "NoneNewFlowKnownOwnerSearchingNoRouteNoViewNoServerNotHeldNotKnownWrongServiceServerGoneServerSilentServerFullBusyOverloadedColdDrainingEveryoneDeniedOutOfServiceStaleViewWokenMalformedTooManyQueuedMisplaced"
 
-var _Reason_index = [...]uint8{0, 4, 11, 21, 30, 37, 43, 51, 58, 66, 78, 88, 100, 110, 114, 124, 128, 136, 150, 162, 171, 176, 185, 191, 200}
+var _Reason_index = [...]uint8{0, 4, 11, 21, 30, 37, 43, 51, 58, 66, 78, 88, 100, 110, 114, 124, 128, 136, 150, 162, 171, 176, 185, 192, 198, 207}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -59,6 +59,7 @@
 	StaleView             // the view is too old to say that nobody holds the flow
 	Woken                 // the process slept and has not refreshed its view
 	Malformed             // the packet or message could not be read
+	TooMany               // the service has more servers than one packet can be offered to
 	Queued                // the first packet waits for a free slot
 	Misplaced             // acknowledges another server's answer
 )
