The pause after store changes grows while changes go on

Change: 300 ms after a lone change, up to 700 ms in a stream; new agents settle for 1.2 s, entries are believed for 2.1 s, so that the sum stays under 3 s.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -42,6 +42,7 @@
 	refresh     chan struct{} // wakes the watch when the view must be read again
 	listed      chan struct{} // closed by the first listing
 	closeListed sync.Once
+	gather      time.Duration // last pause after changes; of the watch's goroutine
 	packets     *net.UDPConn
 	agents      *net.UDPConn
 	port        uint16 // that callers and agents take packets at
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -19,9 +19,15 @@
 	// watchWait is how long one watch waits. It bounds the age of the view when
 	// a connection has gone silent.
 	watchWait = 4 * time.Second
-	// gather is the pause after changes, so that changes close to each other
-	// cost one call. Balancers differ by no more than it and a slow answer.
-	gather = 400 * time.Millisecond
+	// gatherLeast is the pause after changes, so that changes close to each other
+	// cost one call. It grows up to gatherMost while changes go on, since the calls
+	// of a fleet grow with its changes. An entry's removal must be acted on within
+	// three seconds of it, of which steer waits 2.1.
+	gatherLeast = 300 * time.Millisecond
+	gatherMost  = 700 * time.Millisecond
+	// calmAfter is how long a watch waits for changes that do not belong to the
+	// ones before.
+	calmAfter = time.Second
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -103,6 +109,7 @@
 		}
 	}()
 	b.counters.storeCall.Inc()
+	began := time.Now()
 	changes, next, err := store.Watch(waiting, revision, watchWait)
 	cancel()
 	if <-slept {
@@ -116,11 +123,20 @@
 	b.believe(now, b.core.Registry.Apply(now, changes), next)
 	b.mu.Unlock()
 	if len(changes) > 0 {
-		sleep(ctx, gather)
+		b.gather = nextGather(b.gather, time.Since(began))
+		sleep(ctx, b.gather)
 	}
 	return next, nil
 }
 
+// nextGather is the pause after changes that a watch has waited for.
+func nextGather(last, waited time.Duration) time.Duration {
+	if waited >= calmAfter {
+		return gatherLeast
+	}
+	return min(gatherMost, last+gatherLeast)
+}
+
 // heard notes an answer of the store.
 func (b *Balancer) heard(revision uint64) clock.Millis {
 	now := b.Clock.Now()
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -81,13 +81,13 @@
 const (
 	// settle is how long the agent of a new server is known before it gets new
 	// flows, so that every balancer asks it for flows before the first one opens
-	// there: balancers gather changes for a few hundred milliseconds.
-	settle = clock.Second
+	// there: balancers gather changes for up to 700 ms, and calls take time.
+	settle = 1200 * clock.Millis(1)
 	// entriesBack is how long entries that lapsed during an outage of the
 	// platform may take to return: about two seconds. An outage need not show, so
 	// every server whose entry goes without draining is believed for that long;
 	// its agent knows better if it has ended.
-	entriesBack = 2200 * clock.Millis(1)
+	entriesBack = 2100 * clock.Millis(1)
 	// missingKept is how long a server without an entry is still asked for its
 	// flows: the users' longest life of a flow.
 	missingKept = 60 * clock.Second
