Flows of servers that have left are reset; a refused address is tried again

Cause: read in review: a remembered owner whose server had left was offered packets for ever, so its callers waited for their time limit; an agent told that nothing listens at its server's address never tried it again.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -253,7 +253,7 @@
 func (a *Agent) deliver(now clock.Millis, packet []byte) {
 	_, err := a.server.Write(packet)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		if a.core.Refused() {
+		if a.core.Refused(now) {
 			a.Log.Warn("server lost: nothing listens at its address", "server", a.Settings.Server)
 		}
 		_, err = a.server.Write(packet)
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -92,24 +92,24 @@
 	// first byte, if set.
 	Answered func(took clock.Millis)
 
-	flows    map[flow.Key]*entry
-	load     int // requests in progress, and flows that are about to bring one
-	state    ServerState
-	revision uint64
-	coldTill clock.Millis
-	coldRate int
-	openings [openingsKept]clock.Millis // of the last flows opened while cold
-	next     int
-	waiting  clock.Millis // oldest first packet that the server has not answered
-	tried    clock.Millis // last new flow given to a silent server
-	heard    clock.Millis // last packet of the server
-	sent     clock.Millis // first packet handed over since then
-	refused  bool         // the host says that nothing listens at the server's address
-	work     float64      // smoothed time from a request to the first byte of its answer, milliseconds
-	queue    queue
-	trip     float64 // smoothed time from the server's answer to the request, milliseconds
-	counts   Counts
-	leaving  bool
+	flows     map[flow.Key]*entry
+	load      int // requests in progress, and flows that are about to bring one
+	state     ServerState
+	revision  uint64
+	coldTill  clock.Millis
+	coldRate  int
+	openings  [openingsKept]clock.Millis // of the last flows opened while cold
+	next      int
+	waiting   clock.Millis // oldest first packet that the server has not answered
+	tried     clock.Millis // last new flow given to a silent server
+	heard     clock.Millis // last packet of the server
+	sent      clock.Millis // first packet handed over since then
+	refusedAt clock.Millis // when the host last said that nothing listens at the server's address, 0 if the server has been heard since
+	work      float64      // smoothed time from a request to the first byte of its answer, milliseconds
+	queue     queue
+	trip      float64 // smoothed time from the server's answer to the request, milliseconds
+	counts    Counts
+	leaving   bool
 }
 
 // openingsKept bounds the openings remembered for the cold limit.
@@ -240,13 +240,15 @@
 
 // silent reports whether the server has left a first packet unanswered.
 func (a *Agent) silent(now clock.Millis) bool {
-	return a.refused || a.waiting != 0 && now-a.waiting >= serverAnswer
+	return a.refusedAt != 0 || a.waiting != 0 && now-a.waiting >= serverAnswer
 }
 
-// gone reports whether the server has ended: nothing listens at its address, or
-// it is no longer listed and does not answer.
+// gone reports whether the server has ended: nothing listened at its address a
+// moment ago, or it is no longer listed and does not answer. A packet is tried
+// from time to time, since a server may start again at the address.
 func (a *Agent) gone(now clock.Millis) bool {
-	return a.refused || a.state == Missing && a.sent != 0 && now-a.sent >= goneAfter
+	refused := a.refusedAt != 0 && now-a.refusedAt < trialInterval
+	return refused || a.state == Missing && a.sent != 0 && now-a.sent >= goneAfter
 }
 
 // tooCold reports whether one more flow would exceed what the cold server bears
@@ -366,7 +368,7 @@
 // is denied, the message is the one that goes back with it.
 func (a *Agent) FromServer(now clock.Millis, p Packet, m *Message) Outcome {
 	a.init()
-	a.heard, a.sent, a.refused = now, 0, false
+	a.heard, a.sent, a.refusedAt = now, 0, 0
 	e := a.flows[p.Key]
 	if p.Returned {
 		return a.returned(now, p, e, m)
@@ -448,11 +450,12 @@
 	return a.deny(e.from, m, reason)
 }
 
-// Refused says that nothing listens at the server's address.
-func (a *Agent) Refused() bool {
-	was := a.refused
-	a.refused = true
-	return !was
+// Refused says that nothing listens at the server's address. It reports whether
+// that is new.
+func (a *Agent) Refused(now clock.Millis) bool {
+	was := a.refusedAt
+	a.refusedAt = now
+	return was == 0
 }
 
 // Replace says that the server now belongs to another service: nothing that was
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -29,7 +29,6 @@
 	Verdict Verdict
 	Reason  Reason
 	To      place.ID // agent of an Offer
-	Server  *Server  // of that agent, nil if none is known
 }
 
 // Balancer decides which agent gets a packet. What it holds may be lost at any
@@ -55,11 +54,10 @@
 	silent bool
 }
 
-// Silence reports that an agent stopped or began to answer.
+// Silence reports that an agent has stopped to answer.
 type Silence struct {
-	Agent  place.ID
-	Silent bool
-	Since  clock.Millis
+	Agent place.ID
+	Since clock.Millis // of the oldest question without an answer
 }
 
 func (b *Balancer) init() {
@@ -101,8 +99,8 @@
 	m.Kind, m.Reason, m.Final, m.Unsure, m.KnownOnly, m.Count, m.Best, m.BestLoad = OfferPacket, KnownOwner, false, false, false, 0, 0, 0
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
-	if owner := b.cache.Get(now, hash); owner != 0 {
-		return b.offer(now, view, p, m, owner, ownService(view, owner))
+	if owner := b.cache.Get(now, hash); owner != 0 && !b.left(now, view, owner) {
+		return b.offer(now, view, p, m, owner, view.agents[owner].Service)
 	}
 	if p.First && !p.HasAck {
 		return b.open(now, view, route, hash, p, m)
@@ -110,12 +108,10 @@
 	return b.search(now, view, route, hash, p, m)
 }
 
-// ownService is the service that the agent's server belongs to.
-func ownService(view *View, agent place.ID) string {
-	if s := view.agents[agent]; s != nil {
-		return s.Service
-	}
-	return ""
+// left reports whether an agent's server has left for good, with its flows.
+func (b *Balancer) left(now clock.Millis, view *View, id place.ID) bool {
+	l := b.agents[id]
+	return view.agents[id] == nil || l != nil && l.silent && b.presumedGone(now, view, id)
 }
 
 // Denied decides on a packet that an agent has denied. The message is the one
@@ -330,7 +326,7 @@
 	if p.First {
 		b.ask(now, to)
 	}
-	return Decision{Verdict: Offer, Reason: m.Reason, To: to, Server: s}
+	return Decision{Verdict: Offer, Reason: m.Reason, To: to}
 }
 
 // tellCold fills in what the server bears while it is cold, and for how long.
@@ -396,7 +392,7 @@
 		}
 		if !l.silent {
 			l.silent = true
-			out = append(out, Silence{Agent: id, Silent: true, Since: l.asked})
+			out = append(out, Silence{Agent: id, Since: l.asked})
 		}
 		if now-l.pinged >= pingInterval {
 			l.pinged = now
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -65,9 +65,9 @@
 		}, 0},
 		{"the agent of the server is down", func(_ *world, owner, _ *host) { owner.down = true }, 0},
 		{"the server does not answer", func(_ *world, owner, _ *host) { owner.server.silent = true }, 0},
-		{"nothing listens at the server's address", func(_ *world, owner, _ *host) {
+		{"nothing listens at the server's address", func(w *world, owner, _ *host) {
 			owner.server = nil
-			owner.agent.Refused()
+			owner.agent.Refused(w.now)
 		}, 1},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -87,6 +87,30 @@
 	}
 }
 
+func TestFlowOfAServerThatHasLeftIsResetAtOnce(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	owner := w.open(w.balancers[0], 1000)
+	p := data(1000, owner.server)
+	w.tell(steer.Change{Server: w.entry(w.idOf(owner), steer.Leaving)}, steer.Change{Removed: owner.name})
+	owner.down = true
+	w.send(w.balancers[0], p)
+	assert.Equal(t, len(w.resets), 1)
+}
+
+// A server that starts again at an address where nothing listened is found.
+func TestServerAtARefusedAddressIsTriedAgain(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	var only *host
+	for _, h := range w.hosts {
+		only = h
+	}
+	only.agent.Refused(w.now)
+	assert.Assert(t, w.open(w.balancers[0], 1000) == nil)
+	w.now += 250
+	assert.Assert(t, w.open(w.balancers[0], 1001) != nil)
+	assert.Assert(t, w.open(w.balancers[0], 1002) != nil)
+}
+
 func TestStaleViewDoesNotReset(t *testing.T) {
 	w := newWorld(t, 3, 1)
 	owner := w.open(w.balancers[0], 1000)
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -64,7 +64,6 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Idle     clock.Millis // flows that are idle for longer may be discarded, 0 if not said
 }
 
 // Change is one difference that the platform reports. One of the fields is set.
@@ -314,7 +313,6 @@
 // View is what a balancer decides by. It is immutable.
 type View struct {
 	Version uint64 // of the configuration
-	Idle    clock.Millis
 
 	routes   map[netip.AddrPort]*Route
 	services map[string]*pool
@@ -336,7 +334,7 @@
 
 func newView(now clock.Millis, r *Registry) *View {
 	v := &View{
-		Version: r.config.Version, Idle: r.config.Idle, until: never, out: maps.Clone(r.out),
+		Version: r.config.Version, until: never, out: maps.Clone(r.out),
 		routes: make(map[netip.AddrPort]*Route, len(r.config.Routes)), services: make(map[string]*pool),
 		agents: make(map[place.ID]*Server),
 	}
