--- a/cmd/dogpath/main.go
+++ b/cmd/dogpath/main.go
@@ -49,6 +49,10 @@
 func main() {
 	var a args
 	parser := arg.MustParse(&a)
+	if parser.Subcommand() == nil {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -57,7 +61,6 @@
 	out.Close()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		parser.WriteHelp(os.Stderr)
 		os.Exit(1)
 	}
 }
@@ -82,7 +85,7 @@
 		agent := &path.Agent{Settings: settings, File: a.Agent.Settings, Log: logger(settings.Path, out), Dropped: out.Dropped}
 		return agent.Run(ctx)
 	}
-	return fmt.Errorf("name a sub-command: balancer, agent or trace")
+	return nil
 }
 
 // traceFlow prints what the logs say of one flow.
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -84,12 +85,15 @@
 // servePages starts the readiness page and the metrics page.
 func servePages(ctx context.Context, logger *log.Logger, p setup.Path, ready func() bool, set *metrics.Set) error {
 	if err := serve(ctx, logger, p.Ready, platform.ReadyHandler(ready)); err != nil {
-		return err
+		return fmt.Errorf("open Path.Ready: %w", err)
 	}
 	if p.Metrics == "" {
 		return nil
 	}
-	return serve(ctx, logger, p.Metrics, metricsHandler(set))
+	if err := serve(ctx, logger, p.Metrics, metricsHandler(set)); err != nil {
+		return fmt.Errorf("open Path.Metrics: %w", err)
+	}
+	return nil
 }
 
 // journal writes decision lines, bounded.
--- a/internal/stand/proxy/proxy.go
+++ b/internal/stand/proxy/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 )
 
+//go:generate go tool stringer -type=Mode -output=mode_string.go
+
 // Mode says what happens to connections.
 type Mode int
 
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -16,6 +16,7 @@
 
 //go:generate go tool stringer -type=Reason -output=reason_string.go
 //go:generate go tool stringer -type=Verdict -output=verdict_string.go
+//go:generate go tool stringer -type=MessageKind -output=messagekind_string.go
 //go:generate go tool stringer -type=ServerState -output=serverstate_string.go
 
 // Packet is what the decisions need to know of one packet.
