A woken agent drops the first packets of before its sleep

Cause: read in review: offers that waited in an agent's socket while it was frozen opened flows by a state from before, for callers that had given up. Change: first packets are dropped for 50 ms after a sleep, the queue is emptied.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex // guards core, journal and balancers
 	core      steer.Agent
 	journal   journal
+	wake      wake
 	balancers map[netip.AddrPort]bool // that have sent something
 	packets   *net.UDPConn            // balancers' offers
 	outbound  *net.UDPConn            // the server's packets
@@ -198,6 +199,9 @@
 		a.journal.line(now, "offer dropped", "from", from, "why", steer.Malformed)
 		return
 	}
+	if p.First {
+		a.checkSleep(now)
+	}
 	out := a.core.FromBalancer(now, from, m, p)
 	if out.Opened || out.Verdict == steer.Deny {
 		state, revision := a.core.State()
@@ -208,6 +212,14 @@
 	a.release(now)
 }
 
+// checkSleep notices that the process has slept.
+func (a *Agent) checkSleep(now clock.Millis) {
+	if gap := a.wake.slept(); gap > 0 {
+		a.core.Woken(now)
+		a.Log.Warn("woken late", "slept", gap)
+	}
+}
+
 // release lets waiting first packets go.
 func (a *Agent) release(now clock.Millis) {
 	for {
@@ -324,6 +336,7 @@
 		}
 		a.mu.Lock()
 		now := a.Clock.Now()
+		a.checkSleep(now)
 		a.core.Tick(now)
 		a.release(now)
 		a.mu.Unlock()
--- a/internal/path/wake.go
+++ b/internal/path/wake.go
@@ -5,9 +5,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// sleptFor is the gap between two looks at the clocks that means the process
-// has slept: ten ticks.
-const sleptFor = clock.Second
+// sleptFor is the gap between two looks at the clock that means the process has
+// slept: the longest tick with half a second for a busy host.
+const sleptFor = 1500 * clock.Millis(1)
 
 // wake notices that the process has been stopped or its host suspended. The
 // steady clock does not count a suspension; the boot clock does.
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -31,6 +31,9 @@
 	// coldUntilTold is how long a server that has forgotten its flows counts as
 	// cold before a balancer has told so: the time that its entry takes.
 	coldUntilTold = 2 * clock.Second
+	// staleFor is how long first packets are dropped after the process has slept:
+	// what waits in the sockets from before is read within it.
+	staleFor = 50 * clock.Millis(1)
 	// ackWindow is how far beyond the server's first number a caller's
 	// acknowledgement may be for the flow to be this server's.
 	ackWindow = 1 << 24
@@ -107,7 +110,8 @@
 	refusedAt clock.Millis // when the host last said that nothing listens at the server's address, 0 if the server has been heard since
 	work      float64      // smoothed time from a request to the first byte of its answer, milliseconds
 	queue     queue
-	trip      float64 // smoothed time from the server's answer to the request, milliseconds
+	staleTill clock.Millis // until when first packets may be from before a sleep
+	trip      float64      // smoothed time from the server's answer to the request, milliseconds
 	counts    Counts
 	leaving   bool
 }
@@ -185,6 +189,9 @@
 		e.seen, e.from = now, from
 		return Outcome{Verdict: Deliver, Reason: KnownOwner}
 	}
+	if now < a.staleTill {
+		return Outcome{Verdict: Drop, Reason: Woken}
+	}
 	if a.queue.has(p.Key) {
 		return Outcome{Verdict: Drop, Reason: Queued, Hold: from}
 	}
@@ -464,6 +471,13 @@
 	*a = Agent{Service: service, Answered: a.Answered, counts: a.counts, leaving: a.leaving}
 }
 
+// Woken says that the process has slept. First packets that waited meanwhile were
+// offered by an old view, and their callers have given up.
+func (a *Agent) Woken(now clock.Millis) {
+	a.staleTill = now + staleFor
+	a.queue = queue{}
+}
+
 // Leave says that this process is about to end: no new flows.
 func (a *Agent) Leave() { a.leaving = true }
 
--- a/pkg/steer/opening_test.go
+++ b/pkg/steer/opening_test.go
@@ -196,6 +196,21 @@
 	assert.Assert(t, w.open(b, 1002) != nil)
 }
 
+func TestWokenAgentDropsFirstPacketsFromBefore(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	var only *host
+	for _, h := range w.hosts {
+		only = h
+	}
+	w.open(w.balancers[0], 1000)
+	w.now += 5000
+	only.agent.Woken(w.now)
+	assert.Assert(t, w.open(w.balancers[0], 1001) == nil)
+	assert.Equal(t, w.send(w.balancers[0], data(1000, only.server)), only)
+	w.now += 60
+	assert.Assert(t, w.open(w.balancers[0], 1002) != nil)
+}
+
 func TestSplitRouteSharesNewFlows(t *testing.T) {
 	var b steer.Balancer
 	now := clock.Millis(1_700_000_000_000)
