Open flows are searched at the service that their route named before

Cause: read in review: when a configuration sends a route elsewhere, a balancer that did not know a flow's owner asked the new service's servers only and reset it.

--- a/pkg/steer/registry_test.go
+++ b/pkg/steer/registry_test.go
@@ -104,6 +104,20 @@
 	assert.Equal(t, d.Reason, steer.NoView)
 }
 
+// Open flows stay where they are when their route is sent to another service.
+func TestFlowsStayWhenTheirRouteGoesElsewhere(t *testing.T) {
+	w := newWorld(t, 3, 2)
+	owner := w.open(w.balancers[0], 1000)
+	for version := uint64(2); version < 4; version++ {
+		elsewhere := config(version)
+		elsewhere.Routes[0].Targets = []steer.Target{{Service: "other", Weight: 1}}
+		w.tell(steer.Change{Config: elsewhere})
+		assert.Equal(t, w.send(w.balancers[1], data(1000, owner.server)), owner)
+		assert.Assert(t, w.open(w.balancers[0], 1000+int(version)) == nil, "a new flow at the former service")
+	}
+	assert.Equal(t, len(w.resets), 2)
+}
+
 func TestRemovedRouteIsRefused(t *testing.T) {
 	w := newWorld(t, 2, 1)
 	owner := w.open(w.balancers[0], 1000)
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -42,6 +42,10 @@
 type Target struct {
 	Service string
 	Weight  int
+
+	// until is set for a service that an earlier configuration sent flows to: it
+	// gets no new ones, but may hold some until then.
+	until clock.Millis
 }
 
 // Route says where the flows to one address and port go.
@@ -173,7 +177,7 @@
 		case c.Removed != "":
 			notes = append(notes, r.remove(now, c.Removed)...)
 		case c.Config != nil:
-			notes = append(notes, r.reconfigure(*c.Config)...)
+			notes = append(notes, r.reconfigure(now, *c.Config)...)
 		case c.Centre != "":
 			notes = append(notes, r.centre(now, c)...)
 		}
@@ -245,18 +249,44 @@
 	return r.lost || r.back != 0 && now-r.back < entriesBack
 }
 
-func (r *Registry) reconfigure(c Config) []Note {
+func (r *Registry) reconfigure(now clock.Millis, c Config) []Note {
 	if r.config != nil && c.Version <= r.config.Version {
 		if c.Version == r.config.Version {
 			return nil
 		}
 		return []Note{{Subject: "configuration", State: "stale version ignored", Version: c.Version}}
 	}
+	if r.config != nil {
+		c.Routes = withFormer(now, c.Routes, r.config.Routes)
+	}
 	r.config = &c
 	r.view = nil
 	return []Note{{Subject: "configuration", State: "in force", Version: c.Version, Count: len(c.Routes), Services: c.Services}}
 }
 
+// withFormer adds to each route the services that the configuration before sent its
+// flows to, since open flows stay where they are.
+func withFormer(now clock.Millis, routes, before []Route) []Route {
+	old := make(map[netip.AddrPort][]Target, len(before))
+	for _, r := range before {
+		old[r.Address] = r.Targets
+	}
+	out := slices.Clone(routes)
+	for i, r := range out {
+		for _, t := range old[r.Address] {
+			if t.until == 0 {
+				t.until = now + missingKept
+			}
+			named := slices.ContainsFunc(out[i].Targets, func(other Target) bool { return other.Service == t.Service })
+			if !named && now < t.until {
+				t.Weight = 0
+				out[i].Targets = append(slices.Clip(out[i].Targets), t)
+			}
+		}
+	}
+	return out
+}
+
 func (r *Registry) centre(now clock.Millis, c Change) []Note {
 	if _, was := r.out[c.Centre]; was == c.TakenOut {
 		return nil
