An entry counts as gone only by a recent word of the store

Ruled out: a drain or a stop (servers and agents were untouched). Change: a server without an entry stays in use until an answer of the store at most 2 s old shows it missing; watches wait 0.9 s while that is open, so that the sum stays under 3 s.

--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -19,6 +19,9 @@
 	// watchWait is how long one watch waits. It bounds the age of the view when
 	// a connection has gone silent.
 	watchWait = 4 * time.Second
+	// doubtWait is the same while it is not known whether entries that have gone
+	// return.
+	doubtWait = 900 * time.Millisecond
 	// gatherLeast is the pause after changes, so that changes close to each other
 	// cost one call. It grows up to gatherMost while changes go on, since the calls
 	// of a fleet grow with its changes. An entry's removal must be acted on within
@@ -110,7 +113,7 @@
 	}()
 	b.counters.storeCall.Inc()
 	began := time.Now()
-	changes, next, err := store.Watch(waiting, revision, watchWait)
+	changes, next, err := store.Watch(waiting, revision, b.watchWait())
 	cancel()
 	if <-slept {
 		return 0, nil
@@ -129,6 +132,16 @@
 	return next, nil
 }
 
+// watchWait is how long the next watch waits.
+func (b *Balancer) watchWait() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.core.Registry.Doubtful() {
+		return doubtWait
+	}
+	return watchWait
+}
+
 // nextGather is the pause after changes that a watch has waited for.
 func nextGather(last, waited time.Duration) time.Duration {
 	if waited >= calmAfter {
@@ -149,7 +162,7 @@
 func (b *Balancer) storeLost(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.core.Registry.Lost(b.Clock.Now()) {
+	if b.core.Registry.Lost() {
 		b.Log.Warn("store lost", "err", err)
 	}
 }
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -44,6 +44,7 @@
 			owner := w.open(w.balancers[0], 1000)
 			w.tell(row.change(w, owner))
 			w.now += 4000
+			w.tell()
 			assert.Equal(t, w.send(w.balancers[0], data(1000, owner.server)), owner)
 			assert.Equal(t, w.send(w.balancers[1], data(1000, owner.server)), owner)
 			for port := 2000; port < 2050; port++ {
--- a/pkg/steer/opening_test.go
+++ b/pkg/steer/opening_test.go
@@ -24,7 +24,7 @@
 		{"a draining server", func(w *world, h *host) {
 			w.tell(steer.Change{Server: w.entry(w.idOf(h), steer.Leaving)})
 		}},
-		{"a server that is no longer listed", func(w *world, h *host) { w.tell(steer.Change{Removed: h.name}); w.now += 2300 }},
+		{"a server that is no longer listed", func(w *world, h *host) { w.tell(steer.Change{Removed: h.name}); w.now += 2300; w.tell() }},
 		{"a data centre that was taken out", func(w *world, h *host) {
 			w.tell(steer.Change{Centre: h.centre, TakenOut: true})
 		}},
--- a/pkg/steer/registry_test.go
+++ b/pkg/steer/registry_test.go
@@ -40,7 +40,7 @@
 			h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
 			r := &w.balancers[0].Registry
 			if row.seen {
-				assert.Assert(t, r.Lost(w.now))
+				assert.Assert(t, r.Lost())
 				w.now += 5000
 				assert.Assert(t, r.Heard(w.now))
 				r.Replace(w.now, []steer.Change{{Config: config(1)}})
@@ -48,6 +48,7 @@
 				r.Apply(w.now, []steer.Change{{Removed: h.name}})
 			}
 			w.now += row.wait
+			r.Heard(w.now)
 			if row.back {
 				r.Apply(w.now-row.wait/2, []steer.Change{{Server: w.entry(w.idOf(h), steer.Serving)}})
 			}
@@ -63,18 +64,37 @@
 	h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
 	b.Registry.Apply(w.now, []steer.Change{{Removed: h.name}})
 	w.now += 1000
-	b.Registry.Lost(w.now)
+	b.Registry.Lost()
 	w.now += 5000
 	assert.Assert(t, w.open(b, 1000) != nil, "while the platform is away")
 	b.Registry.Heard(w.now)
 	w.now += 1000
 	assert.Assert(t, w.open(b, 1001) != nil, "just after its return")
 	w.now += 2000
+	b.Registry.Heard(w.now)
 	assert.Assert(t, w.open(b, 1002) == nil, "when the entry should be back")
-	b.Registry.Lost(w.now)
+	b.Registry.Lost()
 	assert.Assert(t, w.open(b, 1003) == nil, "a later outage changes nothing")
 }
 
+// A connection that has gone silent without an error brings no returning entries
+// either.
+func TestSilentPlatformDoesNotTakeServersAway(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	b := w.balancers[0]
+	h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
+	w.tell(steer.Change{Removed: h.name})
+	assert.Assert(t, b.Registry.Doubtful())
+	w.now += 4500
+	assert.Assert(t, w.open(b, 1000) != nil, "without a word for 4.5 s")
+	b.Registry.Heard(w.now)
+	w.now += 200
+	assert.Assert(t, w.open(b, 1001) == nil, "after a word")
+	w.now += 4500
+	assert.Assert(t, w.open(b, 1002) == nil, "without a word again")
+	assert.Assert(t, !b.Registry.Doubtful())
+}
+
 func TestListingReplacesWhatItDoesNotName(t *testing.T) {
 	w := newWorld(t, 3, 1)
 	r := &w.balancers[0].Registry
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -36,6 +36,7 @@
 	known   clock.Millis // when this process first knew of this run
 	listed  bool         // in the first listing after this process started
 	missing clock.Millis // when its entry went, 0 while it is listed
+	gone    bool         // it has been missing for long enough to be taken as gone
 }
 
 // Target is a service that a route sends a share of its new flows to.
@@ -91,6 +92,11 @@
 	// every server whose entry goes without draining is believed for that long;
 	// its agent knows better if it has ended.
 	entriesBack = 2100 * clock.Millis(1)
+	// recentWord is how old the platform's last word may be to conclude that an
+	// entry has not returned: a short watch, the pause after it and its answer.
+	recentWord = 2000 * clock.Millis(1)
+	// recheck is the time between two looks at what could not be concluded.
+	recheck = 100 * clock.Millis(1)
 	// missingKept is how long a server without an entry is still asked for its
 	// flows: the users' longest life of a flow.
 	missingKept = 60 * clock.Second
@@ -131,11 +137,11 @@
 }
 
 // Lost notes that the platform does not answer. It reports whether that is new.
-func (r *Registry) Lost(now clock.Millis) bool {
+func (r *Registry) Lost() bool {
 	if r.lost {
 		return false
 	}
-	r.lost, r.lostAt, r.view = true, now, nil
+	r.lost, r.view = true, nil
 	return true
 }
 
@@ -433,23 +439,40 @@
 		}
 		return s.State, never
 	}
-	if until := r.doubt(s); s.State == Serving && now < until {
-		return Serving, until
+	if s.State == Serving {
+		if doubtful, until := r.doubtful(now, s); doubtful {
+			return Serving, until
+		}
 	}
 	return Missing, s.missing + missingKept
 }
 
-// doubt is until when a server whose entry has gone may still be there. While
-// the platform does not answer, the entry cannot be seen to return.
-func (r *Registry) doubt(s *Server) clock.Millis {
-	until := s.missing + entriesBack
+// doubtful reports whether a server whose entry has gone may still be there, and
+// until when that holds. It ends when the entry should have returned, but only by
+// a recent word of the platform: otherwise the return cannot have been seen.
+func (r *Registry) doubtful(now clock.Millis, s *Server) (bool, clock.Millis) {
+	until := max(s.missing, r.back) + entriesBack
 	switch {
-	case r.lostAt == 0 || r.lostAt >= until:
-		return until
-	case r.lost:
-		return never
+	case s.gone:
+		return false, never
+	case now < until:
+		return true, until
+	case r.lost || now-r.heard > recentWord:
+		return true, now + recheck
+	}
+	s.gone = true
+	return false, never
+}
+
+// Doubtful reports whether some server's entry has gone lately, so that the
+// platform should be asked again soon.
+func (r *Registry) Doubtful() bool {
+	for _, s := range r.servers {
+		if s.missing != 0 && s.State == Serving && !s.gone {
+			return true
+		}
 	}
-	return max(until, r.back+entriesBack)
+	return false
 }
 
 func (r *Registry) settled(now clock.Millis, s *Server) bool {
