--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -71,7 +71,8 @@
 	Services []Service
 }
 
-// Change is one difference that the platform reports. One of the fields is set.
+// Change is one difference that the platform reports. Server, Removed, Config or
+// Centre is set.
 type Change struct {
 	Server   *Server // listed or rewritten
 	Removed  string  // name of a server that is no longer listed
@@ -113,7 +114,6 @@
 	out     map[string]outage // data centres that have been taken out
 	heard   clock.Millis      // last word of the platform
 	lost    bool              // the platform does not answer
-	lostAt  clock.Millis      // when it last ceased to answer
 	back    clock.Millis      // when it last answered again
 	listed  bool
 	view    *View
