A reset needs a word of the store younger than the settle time

Cause: a balancer whose store connection is silent may lack a new server for up to 5 s, while others send it flows 1.2 s after they know it. A packet of such a flow that the routers hand to the first one got a reset: the view counted as fresh for 8 s. Ruled out: a settle time of 8 s, which every new server would wait; resets by a view that is old only when the store is known to be lost (the silent connection is the case where it is not known). Change: a view says that nobody holds a flow only if its last word was asked for less than the settle time ago. Otherwise the packet is parked for 300 ms at most and the watch asks the store at once (a call that does not wait); the answer resumes the packet. The first call after a failure does not wait for changes either. A test each in pkg/steer and internal/path, the first failing before. Left: a server published less than 1.2 s before a balancer's own first listing.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -40,6 +40,7 @@
 	leaving     bool
 	changed     clock.Millis  // when the view last changed
 	refresh     chan struct{} // wakes the watch when the view must be read again
+	tooOld      chan struct{} // makes the watch ask at once, since a decision waits for it
 	listed      chan struct{} // closed by the first listing
 	closeListed sync.Once
 	gather      time.Duration // last pause after changes; of the watch's goroutine
@@ -70,7 +71,7 @@
 	b.core.CacheFlows = b.Settings.CacheFlows
 	b.core.EvacuateBy = clock.Millis(b.Settings.EvacuateMs)
 	b.journal = newJournal(b.Log)
-	b.refresh, b.listed = make(chan struct{}, 1), make(chan struct{})
+	b.refresh, b.tooOld, b.listed = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	set := metrics.NewSet()
 	countDropped(set, b.Dropped)
 	b.counters = balancerCounters{
@@ -258,6 +259,9 @@
 		start := len(raw) - platform.HeadBytes - p.Bytes - m.Size()
 		m.Encode(raw[start:])
 		b.send(b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(d.To), b.port))
+	case steer.Wait:
+		b.core.Keep(raw[len(raw)-platform.HeadBytes-p.Bytes:])
+		b.askNow()
 	case steer.Refuse:
 		if p.Reset {
 			return
@@ -267,6 +271,21 @@
 	}
 }
 
+// resume decides on the packets that have waited for a fresh view.
+func (b *Balancer) resume(now clock.Millis) {
+	for {
+		r, ok := b.core.Resume(now)
+		if !ok {
+			return
+		}
+		b.count(r.Decision.Verdict, r.Decision.Reason)
+		b.journal.line(now, "resumed", "flow", r.Packet.Key, "decision", cause(r.Decision.Verdict, r.Decision.Reason),
+			"to", steer.AddrOf(r.Decision.To), "waited", r.Waited)
+		raw := append(make([]byte, headRoom, headRoom+len(r.Raw)), r.Raw...)
+		b.act(r.Decision, r.Packet, r.Message, raw)
+	}
+}
+
 func (b *Balancer) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
 	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
 		b.journal.line(b.Clock.Now(), "send failed", "to", to, "err", err)
@@ -289,6 +308,7 @@
 		for _, s := range b.core.Tick(now, b.ping) {
 			b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 		}
+		b.resume(now)
 		b.mu.Unlock()
 	}
 }
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -207,6 +207,23 @@
 	assert.Assert(t, f.logs.contains("Refuse:EveryoneDenied"), "the log tells why")
 }
 
+// The store has said nothing for a while when a server forgets its flows.
+func TestFlowThatNobodyHoldsIsResetAfterTheStoreWasAsked(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	flow, server := f.open("before")
+	time.Sleep(1300 * time.Millisecond)
+	lost := f.servers[server]
+	lost.Stop()
+	again := &stand.Server{Name: lost.Name, Address: lost.Address, Outbound: lost.Outbound}
+	assert.NilError(t, again.Start())
+	t.Cleanup(again.Stop)
+	began := time.Now()
+	_, err := flow.Ask("after", 2*time.Second)
+	assert.ErrorIs(t, err, stand.ErrReset)
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+	assert.Assert(t, f.logs.contains("resumed"), "the log tells that the packet waited")
+}
+
 func TestAgentRestartKeepsFlows(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	flow, server := f.open("before")
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -65,6 +65,7 @@
 			pause = retryLeast
 			continue
 		}
+		b.askNow() // the first answer after a failure should not wait for a change
 		b.counters.storeFail.Inc()
 		if errors.Is(err, platform.ErrHistoryGone) {
 			b.Log.Warn("listing the store again", "revision", revision, "err", err)
@@ -79,7 +80,7 @@
 
 // list reads everything. It returns 0 for the revision if it fails.
 func (b *Balancer) list(ctx context.Context, store *platform.Store) (uint64, error) {
-	began := time.Now()
+	began, asked := time.Now(), b.Clock.Now()
 	b.counters.storeCall.Inc()
 	changes, revision, err := store.List(ctx)
 	if err != nil {
@@ -88,52 +89,108 @@
 	b.counters.storeTime.UpdateDuration(began)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.heard(revision)
+	now := b.heard(asked, revision)
 	b.believe(now, b.core.Registry.Replace(now, changes), revision)
 	b.core.Refreshed()
+	b.resume(now)
 	b.closeListed.Do(func() { close(b.listed) })
 	b.Log.Info("store listed", "revision", revision, "items", len(changes), "took", time.Since(began).Round(time.Millisecond))
 	return revision, nil
 }
 
-// watchOnce waits for changes once. After the process has slept it returns at
-// once, so that everything is listed again.
+// watchOnce waits for changes once. It returns early when the view is too old for
+// a decision, and after the process has slept, so that everything is listed again.
 func (b *Balancer) watchOnce(ctx context.Context, store *platform.Store, revision uint64) (uint64, error) {
+	wait := b.watchWait()
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
-	slept := make(chan bool, 1)
+	interrupted := make(chan interruption, 1)
 	go func() {
-		select {
-		case <-b.refresh:
-			slept <- true
-			cancel()
-		case <-waiting.Done():
-			slept <- false
-		}
+		interrupted <- b.interrupt(waiting, wait > 0)
+		cancel()
 	}()
 	b.counters.storeCall.Inc()
-	began := time.Now()
-	changes, next, err := store.Watch(waiting, revision, b.watchWait())
+	began, asked := time.Now(), b.Clock.Now()
+	changes, next, err := store.Watch(waiting, revision, wait)
 	cancel()
-	if <-slept {
+	switch <-interrupted {
+	case wokenLate:
 		return 0, nil
+	case viewTooOld:
+		b.askNow()
+		if err != nil {
+			return revision, nil
+		}
 	}
 	if err != nil {
 		return revision, err
 	}
 	b.mu.Lock()
-	now := b.heard(next)
+	now := b.heard(asked, next)
 	b.believe(now, b.core.Registry.Apply(now, changes), next)
+	b.resume(now)
 	b.mu.Unlock()
 	if len(changes) > 0 {
 		b.gather = nextGather(b.gather, time.Since(began))
-		sleep(ctx, b.gather)
+		b.pause(ctx)
 	}
 	return next, nil
 }
 
-// watchWait is how long the next watch waits.
+// interruption is why a watch ended early.
+type interruption uint8
+
+const (
+	notInterrupted interruption = iota
+	wokenLate
+	viewTooOld
+)
+
+// interrupt waits until the watch must end. A call that does not wait for changes
+// is the answer to a view that is too old.
+func (b *Balancer) interrupt(ctx context.Context, waits bool) interruption {
+	tooOld := b.tooOld
+	if !waits {
+		tooOld = nil
+	}
+	select {
+	case <-b.refresh:
+		return wokenLate
+	case <-tooOld:
+		return viewTooOld
+	case <-ctx.Done():
+		return notInterrupted
+	}
+}
+
+// askNow makes the next watch return at once.
+func (b *Balancer) askNow() {
+	select {
+	case b.tooOld <- struct{}{}:
+	default:
+	}
+}
+
+// pause lets changes gather, unless the view is needed.
+func (b *Balancer) pause(ctx context.Context) {
+	timer := time.NewTimer(b.gather)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-b.tooOld:
+		b.askNow()
+	}
+}
+
+// watchWait is how long the next watch waits: not at all if a decision waits for
+// it.
 func (b *Balancer) watchWait() time.Duration {
+	select {
+	case <-b.tooOld:
+		return 0
+	default:
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.core.Registry.Doubtful() {
@@ -150,10 +207,10 @@
 	return min(gatherMost, last+gatherLeast)
 }
 
-// heard notes an answer of the store.
-func (b *Balancer) heard(revision uint64) clock.Millis {
+// heard notes an answer of the store to a question that was asked earlier.
+func (b *Balancer) heard(asked clock.Millis, revision uint64) clock.Millis {
 	now := b.Clock.Now()
-	if b.core.Registry.Heard(now) {
+	if b.core.Registry.Heard(now, asked) {
 		b.Log.Info("store regained", "revision", revision)
 	}
 	return now
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -48,6 +48,7 @@
 	cache  *flow.Cache
 	agents map[place.ID]*link
 	asleep bool // woken with an old view
+	parked []parked
 }
 
 // link is what a balancer knows of its way to one agent.
@@ -241,8 +242,8 @@
 		return Decision{Verdict: Drop, Reason: EveryoneDenied}
 	case m.Unsure || h.closed:
 		return Decision{Verdict: Drop, Reason: OutOfService}
-	case !b.Registry.Fresh(now) || b.asleep:
-		return Decision{Verdict: Drop, Reason: StaleView}
+	case !b.certain(now):
+		return b.park(now, p, m)
 	}
 	return Decision{Verdict: Refuse, Reason: EveryoneDenied}
 }
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -290,8 +290,68 @@
 			h.restartAgent()
 		}
 	}
-	b.Registry.Heard(w.now)
+	b.Registry.Heard(w.now, w.now)
 	b.Registry.Replace(w.now, listing)
 	w.now += 10
 	return b
 }
+
+// A balancer that the platform has not answered for a while does not know of a
+// server that others have sent flows to.
+func TestFlowOfAServerThatTheBalancerHasNotHeardOf(t *testing.T) {
+	for _, age := range []clock.Millis{1300, 3000, 7000} {
+		w := newWorld(t, 3, 2)
+		informed, deaf := w.balancers[0], w.balancers[1]
+		id, entry := w.newServer("late")
+		informed.Registry.Heard(w.now, w.now)
+		informed.Registry.Apply(w.now, []steer.Change{{Server: entry}})
+		w.now += age
+		port := 1000
+		for w.open(informed, port) != w.hosts[id] {
+			port++
+		}
+		assert.Assert(t, w.send(deaf, data(port, w.hosts[id].server)) == nil)
+		assert.Equal(t, len(w.resets), 0, "word %d ms old", age)
+
+		deaf.Registry.Apply(w.now, []steer.Change{{Server: entry}})
+		deaf.Registry.Heard(w.now, w.now)
+		r, ok := deaf.Resume(w.now)
+		assert.Assert(t, ok)
+		assert.Equal(t, r.Decision, steer.Decision{Verdict: steer.Offer, Reason: steer.Searching, To: id})
+	}
+}
+
+func TestPacketParkedForAFreshViewIsDecidedOnOnce(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		asked clock.Millis // age of the question that the platform answers, 0 for no answer
+		want  steer.Decision
+	}{
+		{"answered", 5, steer.Decision{Verdict: steer.Refuse, Reason: steer.EveryoneDenied}},
+		{"not answered", 0, steer.Decision{Verdict: steer.Drop, Reason: steer.StaleView}},
+		{"answer to an old question", 2000, steer.Decision{Verdict: steer.Drop, Reason: steer.StaleView}},
+	} {
+		w := newWorld(t, 3, 1)
+		b := w.balancers[0]
+		owner := w.open(b, 1000)
+		owner.server.flows = map[keyType]bool{}
+		w.now += 3 * clock.Second
+		w.send(b, data(1000, owner.server))
+		w.send(b, data(1000, owner.server)) // a copy
+		_, ok := b.Resume(w.now)
+		assert.Assert(t, !ok, row.name)
+		w.now += 5
+		if row.asked > 0 {
+			b.Registry.Heard(w.now, w.now-row.asked)
+		}
+		r, ok := b.Resume(w.now)
+		if !ok {
+			w.now += 300
+			r, ok = b.Resume(w.now)
+		}
+		assert.Assert(t, ok, row.name)
+		assert.Equal(t, r.Decision, row.want, row.name)
+		_, again := b.Resume(w.now)
+		assert.Assert(t, !again, row.name)
+	}
+}
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -99,9 +99,6 @@
 	// missingKept is how long a server without an entry is still asked for its
 	// flows: the users' longest life of a flow.
 	missingKept = 60 * clock.Second
-	// freshFor is how old the last word of the platform may be for a view that
-	// can still say that nobody holds a flow.
-	freshFor = 8 * clock.Second
 )
 
 // Registry holds what a balancer believes of routes, servers and data centres.
@@ -111,6 +108,7 @@
 	servers map[string]*Server
 	out     map[string]outage // data centres that have been taken out
 	heard   clock.Millis      // last word of the platform
+	asked   clock.Millis      // when that word was asked for: what it says is not older
 	lost    bool              // the platform does not answer
 	back    clock.Millis      // when it last answered again
 	listed  bool
@@ -123,10 +121,10 @@
 	revision uint64       // at which it was taken out
 }
 
-// Heard notes an answer of the platform. It reports whether the platform had
-// been lost.
-func (r *Registry) Heard(now clock.Millis) bool {
-	r.heard = now
+// Heard notes an answer of the platform to a question that was asked at an
+// earlier time. It reports whether the platform had been lost.
+func (r *Registry) Heard(now, asked clock.Millis) bool {
+	r.heard, r.asked = now, asked
 	if !r.lost {
 		return false
 	}
@@ -326,9 +324,10 @@
 	return r.view
 }
 
-// Fresh reports whether the view can say that nobody holds a flow.
+// Fresh reports whether the view can say that nobody holds a flow: a server that
+// it does not name yet has not taken flows from any balancer either.
 func (r *Registry) Fresh(now clock.Millis) bool {
-	return r.listed && now-r.heard < freshFor
+	return r.listed && now-r.asked < settle
 }
 
 func (r *Registry) forget(now clock.Millis) {
@@ -386,14 +385,3 @@
 func (r *Registry) settled(now clock.Millis, s *Server) bool {
 	return s.listed || now-s.known >= settle
 }
-
-// empty reports whether the server of an agent came after its data centre had
-// been taken out, so that no flow can have opened there.
-func (v *View) empty(id place.ID) bool {
-	s := v.agents[id]
-	if s == nil {
-		return false
-	}
-	o, out := v.out[s.DataCentre]
-	return out && o.revision != 0 && s.Created > o.revision
-}
--- a/pkg/steer/registry_test.go
+++ b/pkg/steer/registry_test.go
@@ -42,13 +42,13 @@
 			if row.seen {
 				assert.Assert(t, r.Lost())
 				w.now += 5000
-				assert.Assert(t, r.Heard(w.now))
+				assert.Assert(t, r.Heard(w.now, w.now))
 				r.Replace(w.now, []steer.Change{{Config: config(1)}})
 			} else { // a watch that outlived the outage
 				r.Apply(w.now, []steer.Change{{Removed: h.name}})
 			}
 			w.now += row.wait
-			r.Heard(w.now)
+			r.Heard(w.now, w.now)
 			if row.back {
 				r.Apply(w.now-row.wait/2, []steer.Change{{Server: w.entry(w.idOf(h), steer.Serving)}})
 			}
@@ -67,11 +67,11 @@
 	b.Registry.Lost()
 	w.now += 5000
 	assert.Assert(t, w.open(b, 1000) != nil, "while the platform is away")
-	b.Registry.Heard(w.now)
+	b.Registry.Heard(w.now, w.now)
 	w.now += 1000
 	assert.Assert(t, w.open(b, 1001) != nil, "just after its return")
 	w.now += 2000
-	b.Registry.Heard(w.now)
+	b.Registry.Heard(w.now, w.now)
 	assert.Assert(t, w.open(b, 1002) == nil, "when the entry should be back")
 	b.Registry.Lost()
 	assert.Assert(t, w.open(b, 1003) == nil, "a later outage changes nothing")
@@ -87,7 +87,7 @@
 	assert.Assert(t, b.Registry.Doubtful())
 	w.now += 4500
 	assert.Assert(t, w.open(b, 1000) != nil, "without a word for 4.5 s")
-	b.Registry.Heard(w.now)
+	b.Registry.Heard(w.now, w.now)
 	w.now += 200
 	assert.Assert(t, w.open(b, 1001) == nil, "after a word")
 	w.now += 4500
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -81,7 +81,7 @@
 	Deny                    // send it back to the balancer
 	ToCaller                // send it to the caller
 	Refuse                  // answer the caller with a reset
-	Wait                    // keep it until the server has a free slot
+	Wait                    // keep it until the server has a free slot, or the view is fresh
 )
 
 // AgentOf identifies the agent at an IPv4 address.
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -122,3 +122,14 @@
 	}
 	return ""
 }
+
+// empty reports whether the server of an agent came after its data centre had
+// been taken out, so that no flow can have opened there.
+func (v *View) empty(id place.ID) bool {
+	s := v.agents[id]
+	if s == nil {
+		return false
+	}
+	o, out := v.out[s.DataCentre]
+	return out && o.revision != 0 && s.Created > o.revision
+}
--- a/pkg/steer/world_test.go
+++ b/pkg/steer/world_test.go
@@ -58,7 +58,7 @@
 	}
 	for range balancers {
 		b := &steer.Balancer{EvacuateBy: 5000}
-		b.Registry.Heard(w.now)
+		b.Registry.Heard(w.now, w.now)
 		b.Registry.Replace(w.now, listing)
 		w.balancers = append(w.balancers, b)
 	}
@@ -83,7 +83,7 @@
 // tell applies changes at all balancers.
 func (w *world) tell(changes ...steer.Change) {
 	for _, b := range w.balancers {
-		b.Registry.Heard(w.now)
+		b.Registry.Heard(w.now, w.now)
 		b.Registry.Apply(w.now, changes)
 	}
 }
@@ -207,3 +207,11 @@
 
 // idOf is the agent of a host.
 func (w *world) idOf(h *host) place.ID { return steer.AgentOf(w.addressOf(h)) }
+
+// newServer adds a host that no balancer knows yet.
+func (w *world) newServer(name string) (place.ID, *steer.Server) {
+	n := len(w.hosts) + 1
+	id := steer.AgentOf(netip.AddrFrom4([4]byte{10, 4, 0, byte(n)}))
+	w.hosts[id] = &host{name: name, centre: "dc1", server: newServer(uint32(n) << 24), agent: &steer.Agent{Service: steer.ServiceOf("desk")}}
+	return id, w.entry(id, steer.Serving)
+}
