The packet path's metrics pages feed the service-level burn report

Agents count answers within and beyond the route's goal and requests left without an answer, balancers count resets (refused, or nobody holds the flow), by service and for the windows of pkg/burn. Tests: page format, sums, the agent's verdicts, the pages of real processes on loopback.

--- a/cmd/dogwood/fleet.go
+++ b/cmd/dogwood/fleet.go
@@ -1,22 +1,28 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/fleet"
 	"dogwoodlanding.example/dogwood/internal/report"
+	"dogwoodlanding.example/dogwood/pkg/clock"
 	"github.com/cockroachdb/errors"
 )
 
 // lookTimeout bounds a look at the whole fleet.
 const lookTimeout = 30 * time.Second
 
+// maxPage bounds a metrics page in bytes; the packet path serves some ten thousand.
+const maxPage = 4 << 20
+
 // statusArgs are the arguments of status.
 type statusArgs struct {
 	From    string `arg:"--from,required" help:"IP number of any host of the fleet"`
@@ -102,25 +108,22 @@
 
 // reportArgs are the arguments of report.
 type reportArgs struct {
-	From     string `arg:"--from" help:"IP number of any host of the fleet"`
-	Snapshot string `arg:"--snapshot" help:"report on this saved snapshot instead"`
-	Save     string `arg:"--save" help:"save the snapshot to this file"`
-	Compare  string `arg:"--compare" help:"tell the change since this saved snapshot"`
-	Format   string `arg:"--format" default:"text" help:"text, json or html"`
-	Out      string `arg:"--out" help:"write to this file"`
+	From      string   `arg:"--from" help:"IP number of any host of the fleet"`
+	Snapshot  string   `arg:"--snapshot" help:"report on this saved snapshot instead"`
+	Pages     []string `arg:"--pages" help:"report on these metrics pages of the packet path instead: files or http URLs"`
+	Objective float64  `arg:"--objective" default:"99.9" help:"share of good events in percent, with --pages"`
+	Save      string   `arg:"--save" help:"save the snapshot to this file"`
+	Compare   string   `arg:"--compare" help:"tell the change since this saved snapshot"`
+	Format    string   `arg:"--format" default:"text" help:"text, json or html"`
+	Out       string   `arg:"--out" help:"write to this file"`
 }
 
 // burnReport prints the service-level burn of a fleet.
 func burnReport(w io.Writer, a reportArgs) (int, error) {
-	snapshot, err := a.snapshot()
+	r, err := a.report()
 	if err != nil {
 		return 2, err
 	}
-	if a.Save != "" {
-		if err := snapshot.Save(a.Save); err != nil {
-			return 2, err
-		}
-	}
 	if a.Out != "" {
 		file, err := os.Create(a.Out)
 		if err != nil {
@@ -129,12 +132,61 @@
 		defer file.Close()
 		w = file
 	}
-	if err := a.write(w, report.New(snapshot)); err != nil {
+	if err := a.write(w, r); err != nil {
 		return 2, err
 	}
 	return 0, nil
 }
 
+// report computes the report, and saves the snapshot that it is made of if wanted.
+func (a reportArgs) report() (report.Report, error) {
+	if len(a.Pages) > 0 {
+		return a.fromPages()
+	}
+	snapshot, err := a.snapshot()
+	if err == nil && a.Save != "" {
+		err = snapshot.Save(a.Save)
+	}
+	if err != nil {
+		return report.Report{}, err
+	}
+	return report.New(snapshot), nil
+}
+
+func (a reportArgs) fromPages() (report.Report, error) {
+	if a.Save != "" || a.Compare != "" || a.Objective <= 0 || a.Objective >= 100 {
+		return report.Report{}, errors.New("--pages takes no --save or --compare, and an --objective between 0 and 100")
+	}
+	var pages []io.Reader
+	for _, source := range a.Pages {
+		page, err := readPage(source)
+		if err != nil {
+			return report.Report{}, err
+		}
+		pages = append(pages, bytes.NewReader(page))
+	}
+	return report.FromPages(clock.Clock{}.Now(), a.Objective, pages...)
+}
+
+// readPage reads a metrics page from a file or an http URL.
+func readPage(source string) ([]byte, error) {
+	if !strings.HasPrefix(source, "http://") {
+		page, err := os.ReadFile(source)
+		return page, errors.Wrap(err, "read metrics page")
+	}
+	client := http.Client{Timeout: lookTimeout}
+	response, err := client.Get(source)
+	if err != nil {
+		return nil, errors.Wrap(err, "get metrics page")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("metrics page %s: status %d", source, response.StatusCode)
+	}
+	page, err := io.ReadAll(io.LimitReader(response.Body, maxPage))
+	return page, errors.Wrapf(err, "read metrics page %s", source)
+}
+
 func (a reportArgs) snapshot() (fleet.Snapshot, error) {
 	switch {
 	case a.Snapshot != "":
@@ -144,7 +196,7 @@
 		defer cancel()
 		return fleet.Look(ctx, a.From)
 	}
-	return fleet.Snapshot{}, errors.New("report needs --from HOST or --snapshot FILE")
+	return fleet.Snapshot{}, errors.New("report needs --from HOST, --snapshot FILE or --pages PAGE...")
 }
 
 func (a reportArgs) write(w io.Writer, r report.Report) error {
--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/pkg/burn"
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform"
@@ -52,6 +53,7 @@
 	toCaller  *metrics.Counter
 	answer    *metrics.Histogram // from a request to the first byte of its answer
 	waited    *metrics.Histogram // of first packets that waited
+	level     level
 }
 
 func (a *Agent) init() error {
@@ -85,7 +87,16 @@
 	a.toCaller = a.set.NewCounter("dogwood_agent_to_caller_total")
 	a.answer = a.set.NewHistogram("dogwood_agent_answer_seconds")
 	a.waited = a.set.NewHistogram("dogwood_agent_wait_seconds")
-	a.core.Answered = func(took clock.Millis) { a.answer.Update(took.Duration().Seconds()) }
+	a.level = level{set: a.set, clock: a.Clock, centre: a.Settings.Path.DataCentre}
+	a.core.Answered = func(took, goal clock.Millis) {
+		a.answer.Update(took.Duration().Seconds())
+		kind := burn.Good
+		if goal > 0 && took > goal {
+			kind = burn.LateAnswer
+		}
+		a.level.add(a.Settings.Service, kind)
+	}
+	a.core.Unanswered = func() { a.level.add(a.Settings.Service, burn.UnknownResult) }
 	for name, read := range map[string]func(steer.Counts) uint64{
 		"opened":     func(c steer.Counts) uint64 { return c.Opened },
 		"denied":     func(c steer.Counts) uint64 { return c.Denied },
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/pkg/burn"
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/place"
 	"dogwoodlanding.example/dogwood/pkg/steer"
@@ -57,6 +58,7 @@
 	storeCall *metrics.Counter
 	storeFail *metrics.Counter
 	storeTime *metrics.Histogram
+	level     level
 }
 
 func (b *Balancer) init() error {
@@ -80,6 +82,7 @@
 		storeFail: set.NewCounter("dogwood_store_failures_total"),
 		storeTime: set.NewHistogram("dogwood_store_list_seconds"),
 	}
+	b.counters.level = level{set: set, clock: b.Clock, centre: b.Settings.Path.DataCentre}
 	return nil
 }
 
@@ -266,11 +269,24 @@
 		if p.Reset {
 			return
 		}
+		b.spent(d)
 		var reset [platform.HeadBytes]byte
 		b.send(b.packets, platform.AppendReset(reset[:0], p), netip.AddrPortFrom(p.Key.Source().Addr(), b.port))
 	}
 }
 
+// spent counts a reset against the service level. What no route matches is owed to
+// nobody.
+func (b *Balancer) spent(d steer.Decision) {
+	switch {
+	case d.Service == "":
+	case d.Reason == steer.EveryoneDenied:
+		b.counters.level.add(d.Service, burn.BrokenFlow)
+	default:
+		b.counters.level.add(d.Service, burn.RefusedWork)
+	}
+}
+
 // resume decides on the packets that have waited for a fresh view.
 func (b *Balancer) resume(now clock.Millis) {
 	for {
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -222,6 +222,7 @@
 	assert.ErrorIs(t, err, stand.ErrReset)
 	assert.Assert(t, time.Since(began) < 500*time.Millisecond)
 	assert.Assert(t, f.logs.contains("resumed"), "the log tells that the packet waited")
+	assert.Assert(t, strings.Contains(f.metrics("balancer", 0), `window="5m",kind="BrokenFlow"} 1`))
 }
 
 // A host leaves with its server: the agent's last word is enough to conclude that
@@ -278,19 +279,27 @@
 	}
 }
 
+// metrics reads the metrics page of a process.
+func (f *fleet) metrics(kind string, i int) string {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.at(kind, i, metricsPort).String() + "/metrics")
+	assert.NilError(f.t, err)
+	defer response.Body.Close()
+	page, err := io.ReadAll(response.Body)
+	assert.NilError(f.t, err)
+	return string(page)
+}
+
 func TestMetricsPages(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	f.open("request")
 	for _, row := range []struct{ kind, want string }{
 		{"balancer", `dogwood_balancer_packets_total{verdict="Offer",reason="NewFlow"} 1`},
 		{"server", "dogwood_agent_answer_seconds_count 1"},
+		{"server", `dogwood_level_events{service="desk",data_centre="",window="5m",kind="Good"} 1`},
 	} {
-		response, err := http.Get("http://" + f.at(row.kind, 0, metricsPort).String() + "/metrics")
-		assert.NilError(t, err)
-		page, err := io.ReadAll(response.Body)
-		response.Body.Close()
-		assert.NilError(t, err)
-		assert.Assert(t, strings.Contains(string(page), row.want), "%s", page)
+		page := f.metrics(row.kind, 0)
+		assert.Assert(t, strings.Contains(page, row.want), "%s", page)
 	}
 }
 
--- /dev/null
+++ b/internal/report/pages_test.go
@@ -0,0 +1,43 @@
+package report_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"dogwoodlanding.example/dogwood/internal/report"
+	"dogwoodlanding.example/dogwood/pkg/burn"
+	"gotest.tools/v3/assert"
+)
+
+// page is a metrics page with counts of all windows.
+func page(service, centre string, counts map[burn.Kind]int) io.Reader {
+	var b strings.Builder
+	for _, window := range burn.Windows {
+		for kind, n := range counts {
+			fmt.Fprintf(&b, "%s %d\n", burn.MetricName(service, centre, window, kind), n)
+		}
+	}
+	return strings.NewReader(b.String())
+}
+
+func TestPagesOfManyProcessesAddUp(t *testing.T) {
+	r, err := report.FromPages(0, 99,
+		page("desk", "dc1", map[burn.Kind]int{burn.Good: 90, burn.LateAnswer: 6}),
+		page("desk", "dc2", map[burn.Kind]int{burn.Good: 100}),
+		page("desk", "dc1", map[burn.Kind]int{burn.RefusedWork: 4}),
+	)
+	assert.NilError(t, err)
+	type row struct {
+		centre string
+		total  uint64
+		burn   string
+		worst  string
+	}
+	var got []row
+	for _, l := range r.Lines {
+		got = append(got, row{l.DataCentre, l.Rates[0].Total, fmt.Sprintf("%.1f", l.Rates[0].Burn), l.Worst})
+	}
+	assert.Equal(t, fmt.Sprint(got), fmt.Sprint([]row{{"all", 200, "5.0", "LateAnswer"}, {"dc1", 100, "10.0", "LateAnswer"}, {"dc2", 100, "0.0", ""}}))
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"html/template"
 	"io"
-	"sort"
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/fleet"
@@ -63,16 +62,18 @@
 	for key, lists := range buckets {
 		r.Lines = append(r.Lines, newLine(s.At, key, objectives[key.service], burn.Merge(lists...)))
 	}
-	sort.Slice(r.Lines, func(i, j int) bool {
-		a, b := r.Lines[i], r.Lines[j]
-		return a.Service < b.Service || a.Service == b.Service && a.DataCentre < b.DataCentre
-	})
+	r.sort()
 	return r
 }
 
 func newLine(at clock.Millis, key place, objective float64, buckets []burn.Bucket) Line {
 	line := Line{Service: key.service, DataCentre: key.centre, Objective: objective, buckets: buckets}
 	line.Rates = burn.Rates(at, buckets, objective)
+	return line.withBudget()
+}
+
+// withBudget tells what is left of the budget and which kind of event spent most.
+func (line Line) withBudget() Line {
 	longest := line.Rates[len(line.Rates)-1]
 	days := float64(longest.Window) / float64(24*clock.Hour)
 	line.BudgetLeft = max(0, 1-longest.Burn*days/budgetPeriodDays)
--- a/pkg/burn/burn.go
+++ b/pkg/burn/burn.go
@@ -105,13 +105,29 @@
 			}
 		}
 	}
-	budget := 1 - objective/100
-	if r.Total > 0 && budget > 0 {
+	return r.WithObjective(objective)
+}
+
+// WithObjective computes the burn for an objective, the share of good events in
+// percent.
+func (r Rate) WithObjective(objective float64) Rate {
+	r.Burn = 0
+	if budget := 1 - objective/100; r.Total > 0 && budget > 0 {
 		r.Burn = float64(r.BadTotal()) / float64(r.Total) / budget
 	}
 	return r
 }
 
+// Plus adds up the events of two rates over the same window. The burn must be
+// computed again.
+func (r Rate) Plus(other Rate) Rate {
+	r.Total += other.Total
+	for kind, n := range other.Bad {
+		r.Bad[kind] += n
+	}
+	return r
+}
+
 // Merge adds up the buckets of several processes by minute.
 func Merge(lists ...[]Bucket) []Bucket {
 	byMinute := make(map[int64]Bucket)
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -68,7 +68,8 @@
 	working  bool // a request is in progress
 	asked    bool // the balancer wants to hear who holds the flow
 	lasts    uint8
-	message  *Message // of a packet that the server may return
+	message  *Message     // of a packet that the server may return
+	goal     clock.Millis // response-time goal of its route
 }
 
 // Halves of a flow that have finished.
@@ -92,8 +93,11 @@
 	Service ServiceID
 	Slots   int // 0 until a balancer has said it
 	// Answered is called with the time of each answer, from the request to its
-	// first byte, if set.
-	Answered func(took clock.Millis)
+	// first byte, and with the goal of its route, 0 if there is none, if set.
+	Answered func(took, goal clock.Millis)
+	// Unanswered is called for each request that the server has left without an
+	// answer, if set.
+	Unanswered func()
 
 	flows     map[flow.Key]*entry
 	load      int // requests in progress, and flows that are about to bring one
@@ -210,7 +214,7 @@
 		a.drop(p.Key, e)
 	}
 	kept := *m
-	e := &entry{phase: opening, from: from, seen: now, began: now, message: &kept}
+	e := &entry{phase: opening, from: from, seen: now, began: now, message: &kept, goal: m.Goal}
 	a.flows[p.Key] = e
 	a.setWorking(e, true, now)
 	if a.waiting == 0 {
@@ -295,7 +299,7 @@
 	if m.Count == 0 && e.phase == opened {
 		e.message = nil
 	}
-	e.from, e.seen = from, now
+	e.from, e.seen, e.goal = from, now, m.Goal
 	e.asked = e.asked || m.Reason == Searching
 	out := Outcome{Verdict: Deliver, Reason: KnownOwner}
 	if e.asked && e.phase == opened {
@@ -408,7 +412,7 @@
 	if p.Bytes > 0 && e.working {
 		a.sample(now - e.began)
 		if a.Answered != nil {
-			a.Answered(now - e.began)
+			a.Answered(now-e.began, e.goal)
 		}
 		a.setWorking(e, false, now)
 	}
@@ -468,7 +472,7 @@
 // Replace says that the server now belongs to another service: nothing that was
 // learned holds for it.
 func (a *Agent) Replace(service ServiceID) {
-	*a = Agent{Service: service, Answered: a.Answered, counts: a.counts, leaving: a.leaving}
+	*a = Agent{Service: service, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, leaving: a.leaving}
 }
 
 // Woken says that the process has slept. First packets that waited meanwhile were
@@ -488,6 +492,9 @@
 	for key, e := range a.flows {
 		switch {
 		case e.working && (now-e.began >= workFor || !e.brought && e.phase != opening && now-e.began >= a.openingFor()):
+			if e.brought && a.Unanswered != nil {
+				a.Unanswered()
+			}
 			a.setWorking(e, false, now)
 		case e.phase == ended && now-e.began >= endedFor, now-e.seen >= idleFor:
 			a.drop(key, e)
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -32,6 +32,7 @@
 	Verdict Verdict
 	Reason  Reason
 	To      place.ID // agent of an Offer
+	Service string   // of a Refuse, empty if no route matches
 }
 
 // Balancer decides which agent gets a packet. What it holds may be lost at any
@@ -173,10 +174,10 @@
 	service := route.serviceFor(hash)
 	pool := view.services[service]
 	if pool == nil {
-		return Decision{Verdict: Refuse, Reason: NoServer}
+		return Decision{Verdict: Refuse, Reason: NoServer, Service: service}
 	}
 	if m.Final {
-		return Decision{Verdict: Refuse, Reason: m.Reason}
+		return Decision{Verdict: Refuse, Reason: m.Reason, Service: service}
 	}
 	var ranked [MaxVisited]place.ID
 	count := pool.open.Rank(hash, ranked[:])
@@ -191,7 +192,7 @@
 	if m.Reason == KnownOwner || m.Reason == None {
 		m.Reason = NoServer
 	}
-	return Decision{Verdict: Refuse, Reason: m.Reason}
+	return Decision{Verdict: Refuse, Reason: m.Reason, Service: service}
 }
 
 // candidate chooses the next agent to ask. A repeated first packet begins
@@ -251,7 +252,7 @@
 	case !b.certain(now):
 		return b.park(now, p, m)
 	}
-	return Decision{Verdict: Refuse, Reason: EveryoneDenied}
+	return Decision{Verdict: Refuse, Reason: EveryoneDenied, Service: route.service()}
 }
 
 // holding is what a look at the agents whose servers may hold a flow found.
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -327,7 +327,7 @@
 		asked clock.Millis // age of the question that the platform answers, 0 for no answer
 		want  steer.Decision
 	}{
-		{"answered", 5, steer.Decision{Verdict: steer.Refuse, Reason: steer.EveryoneDenied}},
+		{"answered", 5, steer.Decision{Verdict: steer.Refuse, Reason: steer.EveryoneDenied, Service: "desk"}},
 		{"not answered", 0, steer.Decision{Verdict: steer.Drop, Reason: steer.StaleView}},
 		{"answer to an old question", 2000, steer.Decision{Verdict: steer.Drop, Reason: steer.StaleView}},
 	} {
--- a/pkg/steer/queue_test.go
+++ b/pkg/steer/queue_test.go
@@ -179,3 +179,33 @@
 	agent.Tick(now + 30)
 	assert.Equal(t, agent.Load(), 0)
 }
+
+func TestAgentTellsHowRequestsWereAnswered(t *testing.T) {
+	type answer struct{ took, goal clock.Millis }
+	for _, row := range []struct {
+		name       string
+		after      clock.Millis // until the answer, 0 for none
+		answers    []answer
+		unanswered int
+	}{
+		{"in time", 30, []answer{{30, 200}}, 0},
+		{"late", 700, []answer{{700, 200}}, 0},
+		{"never", 0, nil, 1},
+	} {
+		var answers []answer
+		unanswered := 0
+		a := &steer.Agent{Service: steer.ServiceOf("desk"), Unanswered: func() { unanswered++ },
+			Answered: func(took, goal clock.Millis) { answers = append(answers, answer{took, goal}) }}
+		from, now := netip.MustParseAddrPort("10.9.0.1:7720"), clock.Millis(1_000_000)
+		m := steer.Message{Service: a.Service, Revision: 1, Slots: 2, Goal: 200}
+		a.FromBalancer(now, from, &m, steer.Packet{Key: key(1), First: true})
+		a.FromServer(now, steer.Packet{Key: key(1), First: true, HasAck: true, Seq: 100}, &m)
+		a.FromBalancer(now, from, &m, steer.Packet{Key: key(1), HasAck: true, Ack: 101, Seq: 2, Bytes: 100})
+		if row.after > 0 {
+			a.FromServer(now+row.after, steer.Packet{Key: key(1), HasAck: true, Bytes: 100}, &m)
+		}
+		a.Tick(now + 20*clock.Second)
+		assert.Assert(t, slices.Equal(answers, row.answers), "%s: %v", row.name, answers)
+		assert.Equal(t, unanswered, row.unanswered, row.name)
+	}
+}
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -101,6 +101,14 @@
 // Routes is the number of routes of the view.
 func (v *View) Routes() int { return len(v.routes) }
 
+// service names the first service of a route, to count what no server answers.
+func (r *Route) service() string {
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[0].Service
+}
+
 // serviceFor chooses the target of a new flow by the flow's hash.
 func (r *Route) serviceFor(hash uint64) string {
 	if len(r.Targets) == 1 {
