--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -171,41 +171,30 @@
 	a.Log.Info("leaving", "server", m.Reason)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	datagram := make([]byte, m.Size())
-	m.Encode(datagram)
 	for to := range a.balancers {
-		a.send(a.packets, datagram, to)
+		a.tell(to, m)
 	}
 }
 
 // readBalancers handles the balancers' offers.
 func (a *Agent) readBalancers() {
-	buffer := make([]byte, headRoom+steer.MaxBytes+maxPacket)
 	var m steer.Message
-	for {
-		n, from, err := a.packets.ReadFromUDPAddrPort(buffer[headRoom:])
-		if err != nil {
-			a.Log.Error("read offers", "err", err)
-			return
-		}
-		raw := buffer[:headRoom+n]
+	receive(a.Log, a.packets, func(raw []byte, from netip.AddrPort) {
 		rest, err := m.Decode(raw[headRoom:])
 		a.mu.Lock()
+		defer a.mu.Unlock()
 		now := a.Clock.Now()
 		if err != nil {
 			a.journal.line(now, "offer dropped", "from", from, "err", err)
-			a.mu.Unlock()
-			continue
+			return
 		}
 		a.known(from)
 		if m.Kind == steer.Ping {
 			a.pong(from)
-			a.mu.Unlock()
-			continue
+			return
 		}
 		a.offered(now, from, &m, raw, len(rest))
-		a.mu.Unlock()
-	}
+	})
 }
 
 func (a *Agent) known(balancer netip.AddrPort) {
@@ -272,12 +261,12 @@
 		platform.Clean(packet)
 		start := len(raw) - len(packet) - m.Size()
 		m.Encode(raw[start:])
-		a.send(a.packets, raw[start:], out.To)
+		a.journal.send(now, a.packets, raw[start:], out.To)
 	case steer.Wait:
 		a.core.Keep(packet)
 	case steer.ToCaller:
 		a.toCaller.Inc()
-		a.send(a.outbound, packet, netip.AddrPortFrom(p.Key.Source().Addr(), a.port))
+		a.journal.send(now, a.outbound, packet, netip.AddrPortFrom(p.Key.Source().Addr(), a.port))
 	}
 	if out.Hold.IsValid() {
 		a.hold(out.Hold, p)
@@ -299,41 +288,28 @@
 
 // hold tells a balancer that the server holds a flow.
 func (a *Agent) hold(to netip.AddrPort, p steer.Packet) {
-	m := steer.Message{Kind: steer.HoldFlow, Key: p.Key, Load: a.core.Load(), Slots: a.core.Slots}
-	datagram := make([]byte, m.Size())
-	m.Encode(datagram)
-	a.send(a.packets, datagram, to)
+	a.tell(to, steer.Message{Kind: steer.HoldFlow, Key: p.Key, Load: a.core.Load(), Slots: a.core.Slots})
 }
 
 func (a *Agent) pong(to netip.AddrPort) {
-	m := steer.Message{Kind: steer.Pong, Load: a.core.Load(), Slots: a.core.Slots}
-	datagram := make([]byte, m.Size())
-	m.Encode(datagram)
-	a.send(a.packets, datagram, to)
+	a.tell(to, steer.Message{Kind: steer.Pong, Load: a.core.Load(), Slots: a.core.Slots})
 }
 
-func (a *Agent) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
-	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		a.journal.line(a.Clock.Now(), "send failed", "to", to, "err", err)
-	}
+// tell sends a message without a packet to a balancer.
+func (a *Agent) tell(to netip.AddrPort, m steer.Message) {
+	a.journal.send(a.Clock.Now(), a.packets, encode(m), to)
 }
 
 // readServer handles the server's packets.
 func (a *Agent) readServer() {
-	buffer := make([]byte, headRoom+maxPacket)
 	var m steer.Message
-	for {
-		n, _, err := a.outbound.ReadFromUDPAddrPort(buffer[headRoom:])
-		if err != nil {
-			a.Log.Error("read the server's packets", "err", err)
-			return
-		}
-		raw := buffer[:headRoom+n]
+	receive(a.Log, a.outbound, func(raw []byte, _ netip.AddrPort) {
 		p, ok := platform.DecodeServer(raw[headRoom:])
 		if !ok {
-			continue
+			return
 		}
 		a.mu.Lock()
+		defer a.mu.Unlock()
 		now := a.Clock.Now()
 		out := a.core.FromServer(now, p, &m)
 		if p.Returned {
@@ -341,8 +317,7 @@
 		}
 		a.act(now, out, p, &m, raw)
 		a.release(now)
-		a.mu.Unlock()
-	}
+	})
 }
 
 // tick runs the timers.
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -152,29 +152,18 @@
 	}
 }
 
-// headRoom is where a packet begins in its buffer, so that a message fits in
-// front of it.
-const headRoom = steer.MaxBytes
-
 // readCallers handles the callers' packets.
 func (b *Balancer) readCallers() {
-	buffer := make([]byte, headRoom+maxPacket)
 	var m steer.Message
-	for {
-		n, from, err := b.packets.ReadFromUDPAddrPort(buffer[headRoom:])
-		if err != nil {
-			b.Log.Error("read packets", "err", err)
-			return
-		}
-		raw := buffer[:headRoom+n]
+	receive(b.Log, b.packets, func(raw []byte, from netip.AddrPort) {
 		p, ok := platform.DecodeCaller(raw[headRoom:])
 		b.mu.Lock()
+		defer b.mu.Unlock()
 		now := b.Clock.Now()
 		if !ok {
 			b.count(steer.Drop, steer.Malformed)
 			b.journal.line(now, "packet dropped", "from", from, "why", steer.Malformed)
-			b.mu.Unlock()
-			continue
+			return
 		}
 		if p.First {
 			b.checkSleep()
@@ -182,38 +171,27 @@
 		d := b.core.FromCaller(now, p, &m)
 		b.note(now, p, d, &m)
 		b.act(d, p, &m, raw)
-		b.mu.Unlock()
-	}
+	})
 }
 
 // readAgents handles the agents' messages.
 func (b *Balancer) readAgents() {
-	buffer := make([]byte, headRoom+steer.MaxBytes+maxPacket)
 	var m steer.Message
-	for {
-		n, from, err := b.agents.ReadFromUDPAddrPort(buffer[headRoom:])
-		if err != nil {
-			b.Log.Error("read messages", "err", err)
-			return
-		}
-		raw := buffer[:headRoom+n]
+	receive(b.Log, b.agents, func(raw []byte, from netip.AddrPort) {
 		rest, err := m.Decode(raw[headRoom:])
-		if err != nil {
-			b.mu.Lock()
-			b.journal.line(b.Clock.Now(), "message dropped", "from", from, "err", err)
-			b.mu.Unlock()
-			continue
-		}
-		agent := steer.AgentOf(from.Addr())
 		b.mu.Lock()
+		defer b.mu.Unlock()
 		now := b.Clock.Now()
-		if m.Kind == steer.DenyPacket {
+		agent := steer.AgentOf(from.Addr())
+		switch {
+		case err != nil:
+			b.journal.line(now, "message dropped", "from", from, "err", err)
+		case m.Kind == steer.DenyPacket:
 			b.denied(now, agent, &m, raw, len(rest))
-		} else if b.core.Heard(now, agent, &m) {
-			b.journal.log.Info("agent regained", "agent", from.Addr())
+		case b.core.Heard(now, agent, &m):
+			b.Log.Info("agent regained", "agent", from.Addr())
 		}
-		b.mu.Unlock()
-	}
+	})
 }
 
 func (b *Balancer) denied(now clock.Millis, agent place.ID, m *steer.Message, raw []byte, length int) {
@@ -261,7 +239,7 @@
 	case steer.Offer:
 		start := len(raw) - platform.HeadBytes - p.Bytes - m.Size()
 		m.Encode(raw[start:])
-		b.send(b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(d.To), b.port))
+		b.journal.send(b.Clock.Now(), b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(d.To), b.port))
 	case steer.Wait:
 		b.core.Keep(raw[len(raw)-platform.HeadBytes-p.Bytes:])
 		b.askNow()
@@ -271,7 +249,7 @@
 		}
 		b.spent(d)
 		var reset [platform.HeadBytes]byte
-		b.send(b.packets, platform.AppendReset(reset[:0], p), netip.AddrPortFrom(p.Key.Source().Addr(), b.port))
+		b.journal.send(b.Clock.Now(), b.packets, platform.AppendReset(reset[:0], p), netip.AddrPortFrom(p.Key.Source().Addr(), b.port))
 	}
 }
 
@@ -302,12 +280,6 @@
 	}
 }
 
-func (b *Balancer) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
-	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		b.journal.line(b.Clock.Now(), "send failed", "to", to, "err", err)
-	}
-}
-
 // tick runs the timers.
 func (b *Balancer) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -330,10 +302,7 @@
 }
 
 func (b *Balancer) ping(agent place.ID) {
-	m := steer.Message{Kind: steer.Ping}
-	datagram := make([]byte, m.Size())
-	m.Encode(datagram)
-	b.send(b.agents, datagram, netip.AddrPortFrom(steer.AddrOf(agent), b.port))
+	b.journal.send(b.Clock.Now(), b.agents, encode(steer.Message{Kind: steer.Ping}), netip.AddrPortFrom(steer.AddrOf(agent), b.port))
 }
 
 // checkSleep holds new flows back until the view has been read again if the
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -51,6 +51,31 @@
 	return conn, conn.SetReadBuffer(socketBuffer)
 }
 
+// headRoom is where a datagram begins in its buffer, so that a message fits in
+// front of a packet.
+const headRoom = steer.MaxBytes
+
+// receive hands each datagram of a socket to handle, headRoom bytes into raw, until
+// the socket fails. The bytes are overwritten by the next datagram.
+func receive(logger *log.Logger, conn *net.UDPConn, handle func(raw []byte, from netip.AddrPort)) {
+	buffer := make([]byte, headRoom+steer.MaxBytes+maxPacket)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer[headRoom:])
+		if err != nil {
+			logger.Error("read packets", "socket", conn.LocalAddr(), "err", err)
+			return
+		}
+		handle(buffer[:headRoom+n], from)
+	}
+}
+
+// encode writes a message that has no packet.
+func encode(m steer.Message) []byte {
+	datagram := make([]byte, m.Size())
+	m.Encode(datagram)
+	return datagram
+}
+
 // serve answers HTTP requests until the context ends.
 func serve(ctx context.Context, logger *log.Logger, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
@@ -118,6 +143,14 @@
 	j.log.Info(message, fields...)
 }
 
+// send sends a datagram. A lost one is repeated by the caller, so a failure is only
+// logged.
+func (j *journal) send(now clock.Millis, conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		j.line(now, "send failed", "to", to, "err", err)
+	}
+}
+
 // fixed is the part of the settings that takes effect at the start only.
 func fixed(p setup.Path) setup.Path {
 	p.LogLevel = ""
