--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -150,6 +150,7 @@
 	defer a.mu.Unlock()
 	if service := steer.ServiceOf(settings.Service); service != a.core.Service {
 		a.core.Replace(service)
+		a.Settings.Service = settings.Service
 		a.Log.Warn("belief", "subject", "service of the server", "state", settings.Service)
 	}
 	if fixed(settings.Path) != fixed(a.Settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server {
