A server is gone only by a word asked for later; no refusals right after a pause

A balancer stood still for a second while entries that had lapsed came back. When it ran again it found in its socket the first packet of a flow, a copy of which had opened at another balancer, and judged it by its old view: the wait for the entries was over, its last word 1.9 s old, so no server was left, and the caller got a reset on an open flow. The word had been given before the entries returned. Ruled out: the routers (both balancers were in the rotation), the new parking of packets (the flow was refused as a new one). Change: an entry counts as not returned only by an answer that was asked for after it should have been back; the watch ends at that moment and asks, so the conclusion comes no later. A balancer that has not run for 250 ms refuses no first packet for 50 ms: its caller's copies come at 200 and 600 ms and may have opened elsewhere.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -226,7 +226,7 @@
 
 // checkSleep notices that the process has slept.
 func (a *Agent) checkSleep(now clock.Millis) {
-	if gap := a.wake.slept(); gap > 0 {
+	if gap := a.wake.gap(); gap >= sleptFor {
 		a.core.Woken(now)
 		a.Log.Warn("woken late", "slept", gap)
 	}
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -166,7 +166,7 @@
 			return
 		}
 		if p.First {
-			b.checkSleep()
+			b.checkSleep(now)
 		}
 		d := b.core.FromCaller(now, p, &m)
 		b.note(now, p, d, &m)
@@ -201,6 +201,9 @@
 		b.count(steer.Drop, steer.Malformed)
 		return
 	}
+	if p.First {
+		b.checkSleep(now)
+	}
 	reason := m.Reason
 	d := b.core.Denied(now, agent, p, m)
 	b.journal.line(now, "flow denied", "flow", p.Key, "agent", steer.AddrOf(agent), "why", reason,
@@ -291,8 +294,8 @@
 		case <-ticker.C:
 		}
 		b.mu.Lock()
-		b.checkSleep()
 		now := b.Clock.Now()
+		b.checkSleep(now)
 		for _, s := range b.core.Tick(now, b.ping) {
 			b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 		}
@@ -305,15 +308,20 @@
 	b.journal.send(b.Clock.Now(), b.agents, encode(steer.Message{Kind: steer.Ping}), netip.AddrPortFrom(steer.AddrOf(agent), b.port))
 }
 
-// checkSleep holds new flows back until the view has been read again if the
-// process has slept.
-func (b *Balancer) checkSleep() {
-	gap := b.wake.slept()
-	if gap == 0 {
+// checkSleep notices that the process has not run. After a pause first packets are
+// not refused for a moment; after a sleep new flows wait until the view has been
+// read again.
+func (b *Balancer) checkSleep(now clock.Millis) {
+	gap := b.wake.gap()
+	if gap < pausedFor {
 		return
 	}
-	b.core.Woken()
+	b.core.Paused(now)
 	b.Log.Warn("woken late", "slept", gap)
+	if gap < sleptFor {
+		return
+	}
+	b.core.Woken()
 	select {
 	case b.refresh <- struct{}{}:
 	default:
--- a/internal/path/wake.go
+++ b/internal/path/wake.go
@@ -9,25 +9,28 @@
 // slept: the longest tick with half a second for a busy host.
 const sleptFor = 1500 * clock.Millis(1)
 
+// pausedFor is the gap that means a balancer has not run for a while: a tick, and
+// less than the 200 ms after which callers repeat a first packet.
+const pausedFor = 250 * clock.Millis(1)
+
 // wake notices that the process has been stopped or its host suspended. The
 // steady clock does not count a suspension; the boot clock does.
 type wake struct {
 	last clock.Millis
 }
 
-// slept looks at the boot clock and returns how long the process has not run,
-// or 0.
-func (w *wake) slept() clock.Millis {
+// gap looks at the boot clock and returns the time since the last look, 0 at the
+// first.
+func (w *wake) gap() clock.Millis {
 	var at unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
 		return 0
 	}
 	now := clock.Millis(at.Nano() / 1e6)
-	gap := now - w.last
-	first := w.last == 0
+	last := w.last
 	w.last = now
-	if first || gap < sleptFor {
+	if last == 0 {
 		return 0
 	}
-	return gap
+	return now - last
 }
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -19,9 +19,6 @@
 	// watchWait is how long one watch waits. It bounds the age of the view when
 	// a connection has gone silent.
 	watchWait = 4 * time.Second
-	// doubtWait is the same while it is not known whether entries that have gone
-	// return.
-	doubtWait = 900 * time.Millisecond
 	// gatherLeast is the pause after changes, so that changes close to each other
 	// cost one call. It grows up to gatherMost while changes go on, since the calls
 	// of a fleet grow with its changes. An entry's removal must be acted on within
@@ -184,7 +181,7 @@
 }
 
 // watchWait is how long the next watch waits: not at all if a decision waits for
-// it.
+// it, and no longer than until a server without an entry must be judged.
 func (b *Balancer) watchWait() time.Duration {
 	select {
 	case <-b.tooOld:
@@ -193,8 +190,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.core.Registry.Doubtful() {
-		return doubtWait
+	if wait, doubtful := b.core.Registry.Doubtful(b.Clock.Now()); doubtful {
+		return min(watchWait, wait.Duration())
 	}
 	return watchWait
 }
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -50,6 +50,8 @@
 	agents map[place.ID]*link
 	asleep bool // woken with an old view
 	parked []parked
+
+	staleTill clock.Millis // until when first packets may be from before a pause
 }
 
 // link is what a balancer knows of its way to one agent.
@@ -89,6 +91,10 @@
 // wait until Refreshed.
 func (b *Balancer) Woken() { b.asleep = true }
 
+// Paused says that the process has not run for longer than callers wait to repeat
+// a first packet: those that come now may have opened elsewhere meanwhile.
+func (b *Balancer) Paused(now clock.Millis) { b.staleTill = now + staleFor }
+
 // Refreshed says that the view has been read again.
 func (b *Balancer) Refreshed() { b.asleep = false }
 
@@ -123,7 +129,7 @@
 		return true
 	}
 	unanswered := l != nil && l.silent && l.asked != 0 && now-l.asked >= leftAfter
-	return s == nil || unanswered && b.presumedGone(now, view, id)
+	return s == nil || unanswered && b.presumedGone(view, id)
 }
 
 // Denied decides on a packet that an agent has denied. The message is the one
@@ -174,10 +180,10 @@
 	service := route.serviceFor(hash)
 	pool := view.services[service]
 	if pool == nil {
-		return Decision{Verdict: Refuse, Reason: NoServer, Service: service}
+		return b.refuse(now, service, NoServer)
 	}
 	if m.Final {
-		return Decision{Verdict: Refuse, Reason: m.Reason, Service: service}
+		return b.refuse(now, service, m.Reason)
 	}
 	var ranked [MaxVisited]place.ID
 	count := pool.open.Rank(hash, ranked[:])
@@ -192,7 +198,15 @@
 	if m.Reason == KnownOwner || m.Reason == None {
 		m.Reason = NoServer
 	}
-	return Decision{Verdict: Refuse, Reason: m.Reason, Service: service}
+	return b.refuse(now, service, m.Reason)
+}
+
+// refuse rejects a new flow, unless a copy of its first packet may have opened it.
+func (b *Balancer) refuse(now clock.Millis, service string, reason Reason) Decision {
+	if now < b.staleTill {
+		return Decision{Verdict: Drop, Reason: Woken}
+	}
+	return Decision{Verdict: Refuse, Reason: reason, Service: service}
 }
 
 // candidate chooses the next agent to ask. A repeated first packet begins
@@ -305,9 +319,9 @@
 
 // presumedGone reports whether a silent agent's server is no longer listed
 // either, although the platform has been steady for long enough.
-func (b *Balancer) presumedGone(now clock.Millis, view *View, id place.ID) bool {
+func (b *Balancer) presumedGone(view *View, id place.ID) bool {
 	s := view.agents[id]
-	return s == nil || s.State == Missing && now-s.missing >= entriesBack && !b.Registry.unsteady(now)
+	return s == nil || s.State == Missing && b.Registry.concluded(s)
 }
 
 // closed reports whether an agent's data centre was taken out long enough ago
--- a/pkg/steer/opening_test.go
+++ b/pkg/steer/opening_test.go
@@ -196,6 +196,23 @@
 	assert.Assert(t, w.open(b, 1002) != nil)
 }
 
+// First packets that waited in the socket of a balancer that did not run may have
+// been repeated and opened elsewhere: a reset would end an open flow.
+func TestPausedBalancerRefusesNoFirstPacketFromBefore(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	b := w.balancers[0]
+	for id := range w.hosts {
+		w.tell(steer.Change{Server: w.entry(id, steer.Leaving)})
+	}
+	b.Paused(w.now)
+	assert.Assert(t, w.open(b, 1000) == nil)
+	assert.Equal(t, len(w.resets), 0)
+	assert.DeepEqual(t, w.drops, []steer.Reason{steer.Woken})
+	w.now += 60
+	assert.Assert(t, w.open(b, 1001) == nil)
+	assert.Equal(t, len(w.resets), 1)
+}
+
 func TestWokenAgentDropsFirstPacketsFromBefore(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	var only *host
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -91,9 +91,6 @@
 	// every server whose entry goes without draining is believed for that long;
 	// its agent knows better if it has ended.
 	entriesBack = 2100 * clock.Millis(1)
-	// recentWord is how old the platform's last word may be to conclude that an
-	// entry has not returned: a short watch, the pause after it and its answer.
-	recentWord = 2000 * clock.Millis(1)
 	// recheck is the time between two looks at what could not be concluded.
 	recheck = 100 * clock.Millis(1)
 	// missingKept is how long a server without an entry is still asked for its
@@ -107,8 +104,7 @@
 	config  *Config
 	servers map[string]*Server
 	out     map[string]outage // data centres that have been taken out
-	heard   clock.Millis      // last word of the platform
-	asked   clock.Millis      // when that word was asked for: what it says is not older
+	asked   clock.Millis      // when the last word of the platform was asked for: what it says is not older
 	lost    bool              // the platform does not answer
 	back    clock.Millis      // when it last answered again
 	listed  bool
@@ -124,7 +120,10 @@
 // Heard notes an answer of the platform to a question that was asked at an
 // earlier time. It reports whether the platform had been lost.
 func (r *Registry) Heard(now, asked clock.Millis) bool {
-	r.heard, r.asked = now, asked
+	if _, doubtful := r.Doubtful(now); doubtful {
+		r.view = nil // the word may tell
+	}
+	r.asked = asked
 	if !r.lost {
 		return false
 	}
@@ -241,11 +240,6 @@
 	return []Note{note}
 }
 
-// unsteady reports whether entries may have lapsed for want of the platform.
-func (r *Registry) unsteady(now clock.Millis) bool {
-	return r.lost || r.back != 0 && now-r.back < entriesBack
-}
-
 func (r *Registry) reconfigure(now clock.Millis, c Config) []Note {
 	if r.config != nil && c.Version <= r.config.Version {
 		if c.Version == r.config.Version {
@@ -354,32 +348,43 @@
 	return Missing, s.missing + missingKept
 }
 
+// due is when the entry of a server without one should have returned.
+func (r *Registry) due(s *Server) clock.Millis { return max(s.missing, r.back) + entriesBack }
+
+// concluded reports whether the entry of a server has not returned in time. Only a
+// word of the platform that was asked for after that time can tell.
+func (r *Registry) concluded(s *Server) bool { return !r.lost && r.asked >= r.due(s) }
+
 // doubtful reports whether a server whose entry has gone may still be there, and
-// until when that holds. It ends when the entry should have returned, but only by
-// a recent word of the platform: otherwise the return cannot have been seen.
+// until when that holds.
 func (r *Registry) doubtful(now clock.Millis, s *Server) (bool, clock.Millis) {
-	until := max(s.missing, r.back) + entriesBack
 	switch {
 	case s.gone:
 		return false, never
-	case now < until:
-		return true, until
-	case r.lost || now-r.heard > recentWord:
-		return true, now + recheck
+	case r.concluded(s):
+		s.gone = true
+		return false, never
+	case now < r.due(s):
+		return true, r.due(s)
 	}
-	s.gone = true
-	return false, never
+	return true, now + recheck
 }
 
-// Doubtful reports whether some server's entry has gone lately, so that the
-// platform should be asked again soon.
-func (r *Registry) Doubtful() bool {
+// Doubtful reports whether the entry of some server that did not drain has gone
+// lately, and how long the platform need not be asked until the server is
+// concluded to be gone.
+func (r *Registry) Doubtful(now clock.Millis) (clock.Millis, bool) {
+	wait, found := never, false
 	for _, s := range r.servers {
-		if s.missing != 0 && s.State == Serving && !s.gone {
-			return true
+		if s.missing == 0 || s.State != Serving || s.gone || r.concluded(s) {
+			continue
 		}
+		wait, found = min(wait, max(0, r.due(s)-now)), true
+	}
+	if !found {
+		return 0, false
 	}
-	return false
+	return wait, true
 }
 
 func (r *Registry) settled(now clock.Millis, s *Server) bool {
--- a/pkg/steer/registry_test.go
+++ b/pkg/steer/registry_test.go
@@ -84,7 +84,8 @@
 	b := w.balancers[0]
 	h := w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))]
 	w.tell(steer.Change{Removed: h.name})
-	assert.Assert(t, b.Registry.Doubtful())
+	_, doubtful := b.Registry.Doubtful(w.now)
+	assert.Assert(t, doubtful)
 	w.now += 4500
 	assert.Assert(t, w.open(b, 1000) != nil, "without a word for 4.5 s")
 	b.Registry.Heard(w.now, w.now)
@@ -92,7 +93,35 @@
 	assert.Assert(t, w.open(b, 1001) == nil, "after a word")
 	w.now += 4500
 	assert.Assert(t, w.open(b, 1002) == nil, "without a word again")
-	assert.Assert(t, !b.Registry.Doubtful())
+	_, doubtful = b.Registry.Doubtful(w.now)
+	assert.Assert(t, !doubtful)
+}
+
+// An entry may return until the last moment of the wait, so only a word that was
+// asked for after it tells that the entry is missing.
+func TestReturnIsJudgedByALaterWord(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	b := w.balancers[0]
+	began := w.now
+	w.tell(steer.Change{Removed: w.hosts[steer.AgentOf(netip.MustParseAddr("10.1.0.1"))].name})
+	for i, row := range []struct {
+		heard, asked clock.Millis // of the word, since the entry went
+		now          clock.Millis
+		wait         clock.Millis // until the next word is needed
+		open         bool
+	}{
+		{1500, 1500, 1500, 600, true},
+		{1900, 1900, 2200, 0, true},
+		{2250, 2050, 2300, 0, true},
+		{2350, 2150, 2350, 0, false},
+	} {
+		w.now = began + row.now
+		b.Registry.Heard(began+row.heard, began+row.asked)
+		wait, doubtful := b.Registry.Doubtful(w.now)
+		assert.Equal(t, doubtful, row.open)
+		assert.Equal(t, wait, row.wait)
+		assert.Equal(t, w.open(b, 1000+i) != nil, row.open, "%d ms after the entry went", row.now)
+	}
 }
 
 func TestListingReplacesWhatItDoesNotName(t *testing.T) {
