A search that ends at a drained, silent server asks the store

Ruled out: hurrying the watch for every removed entry, a call for each removal and balancer that is mostly not needed. Change: such a packet is parked until a newer word, which the watch asks for at once; the answer decides. A test that failed before.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -114,6 +114,9 @@
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.cache.Get(now, hash); owner != 0 && !b.left(now, view, owner) {
+		if l := b.agents[owner]; l != nil && l.silent && b.Registry.undecided(now, view.agents[owner]) {
+			return b.park(now, p, m, true)
+		}
 		return b.offer(now, view, p, m, owner, view.agents[owner].Service)
 	}
 	if p.First && !p.HasAck {
@@ -255,6 +258,9 @@
 		m.KnownOnly = m.KnownOnly || h.passed || h.hidden && m.Count >= mostTries
 		return b.offer(now, view, p, m, h.next, h.service)
 	}
+	if h.undecided {
+		return b.park(now, p, m, true)
+	}
 	if h.silent != 0 {
 		return b.offer(now, view, p, m, h.silent, h.silentService)
 	}
@@ -264,7 +270,7 @@
 	case m.Unsure || h.closed:
 		return Decision{Verdict: Drop, Reason: OutOfService}
 	case !b.certain(now):
-		return b.park(now, p, m)
+		return b.park(now, p, m, false)
 	}
 	return Decision{Verdict: Refuse, Reason: EveryoneDenied, Service: route.service()}
 }
@@ -278,6 +284,7 @@
 	passed        bool     // one that cannot be asked comes before next
 	hidden        bool     // some cannot be asked
 	closed        bool     // some are in a data centre that was taken out
+	undecided     bool     // a newer word may tell that a silent one has left
 }
 
 // holders looks for the next agent to ask in the flow's order.
@@ -309,6 +316,7 @@
 		h.closed, h.hidden = true, true
 	case b.agents[id] != nil && b.agents[id].silent:
 		h.hidden = true
+		h.undecided = h.undecided || b.Registry.undecided(now, view.agents[id])
 		if h.silent == 0 {
 			h.silent, h.silentService = id, service
 		}
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// Whether a drained server that does not answer has left is judged by a word of the
+// platform that was asked for after its entry should have been back. A search that
+// ends there asks for one.
+func TestSearchThatEndsAtADrainedServerAsksAgain(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	b := w.balancers[0]
+	owner := w.open(b, 1000)
+	w.tell(steer.Change{Server: w.entry(w.idOf(owner), steer.Leaving)}, steer.Change{Removed: owner.name})
+	owner.down = true
+	for range 20 {
+		w.send(b, data(1000, owner.server))
+		w.now += 100
+		b.Tick(w.now, func(steerID) {})
+	}
+	b.Registry.Heard(w.now, w.now) // the entry may still return
+	w.now += 200
+	w.drops = nil
+	w.send(b, data(1000, owner.server))
+	assert.DeepEqual(t, w.drops, []steer.Reason{steer.StaleView})
+	_, ok := b.Resume(w.now)
+	assert.Assert(t, !ok, "without a newer word")
+	w.now += 5
+	b.Registry.Heard(w.now, w.now)
+	r, ok := b.Resume(w.now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Decision.Reason, steer.Searching, "the others are asked")
+	assert.Assert(t, w.send(b, data(1000, owner.server)) == nil)
+	assert.Equal(t, len(w.resets), 1)
+}
+
 // A server that starts again at an address where nothing listened is found.
 func TestServerAtARefusedAddressIsTriedAgain(t *testing.T) {
 	w := newWorld(t, 1, 1)
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -22,6 +22,7 @@
 	message Message
 	raw     []byte
 	since   clock.Millis
+	newer   bool // needs a word of the platform that was asked for since
 }
 
 // Resumed is a parked packet with what is to be done with it now.
@@ -39,12 +40,12 @@
 }
 
 // park keeps a packet until the view is fresh. A copy replaces the one before.
-func (b *Balancer) park(now clock.Millis, p Packet, m *Message) Decision {
+func (b *Balancer) park(now clock.Millis, p Packet, m *Message, newer bool) Decision {
 	b.parked = slices.DeleteFunc(b.parked, func(w parked) bool { return w.packet.Key == p.Key })
 	if len(b.parked) >= mostParked {
 		return Decision{Verdict: Drop, Reason: StaleView}
 	}
-	b.parked = append(b.parked, parked{packet: p, message: *m, since: now})
+	b.parked = append(b.parked, parked{packet: p, message: *m, since: now, newer: newer})
 	return Decision{Verdict: Wait, Reason: StaleView}
 }
 
@@ -58,20 +59,19 @@
 // Resume takes the next parked packet that can be decided on: the view is fresh,
 // or the packet has waited for too long.
 func (b *Balancer) Resume(now clock.Millis) (Resumed, bool) {
-	if len(b.parked) == 0 {
-		return Resumed{}, false
+	for i, w := range b.parked {
+		ready := b.certain(now) && (!w.newer || b.Registry.asked >= w.since)
+		if !ready && now-w.since < longestParked {
+			continue
+		}
+		b.parked = slices.Delete(b.parked, i, i+1)
+		r := Resumed{Decision: Decision{Verdict: Drop, Reason: StaleView}, Packet: w.packet, Message: &w.message, Raw: w.raw, Waited: now - w.since}
+		if view := b.Registry.View(now); ready && view != nil {
+			r.Decision = b.resume(now, view, w.packet, r.Message)
+		}
+		return r, true
 	}
-	w := b.parked[0]
-	view := b.Registry.View(now)
-	r := Resumed{Decision: Decision{Verdict: Drop, Reason: StaleView}, Packet: w.packet, Message: &w.message, Raw: w.raw, Waited: now - w.since}
-	switch {
-	case view != nil && b.certain(now):
-		r.Decision = b.resume(now, view, w.packet, r.Message)
-	case r.Waited < longestParked:
-		return Resumed{}, false
-	}
-	b.parked = b.parked[1:]
-	return r, true
+	return Resumed{}, false
 }
 
 func (b *Balancer) resume(now clock.Millis, view *View, p Packet, m *Message) Decision {
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -355,6 +355,12 @@
 // word of the platform that was asked for after that time can tell.
 func (r *Registry) concluded(s *Server) bool { return !r.lost && r.asked >= r.due(s) }
 
+// undecided reports whether a newer word of the platform can tell if the entry of a
+// server has not returned in time.
+func (r *Registry) undecided(now clock.Millis, s *Server) bool {
+	return s != nil && s.State == Missing && !r.lost && now >= r.due(s) && !r.concluded(s)
+}
+
 // doubtful reports whether a server whose entry has gone may still be there, and
 // until when that holds.
 func (r *Registry) doubtful(now clock.Millis, s *Server) (bool, clock.Millis) {
