--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,12 @@
 	go build -o bin/ ./cmd/dogpath ./cmd/doghunt
 	./bin/doghunt --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
+# One run of some two hundred processes: make hunt-large SEED=1
+.PHONY: hunt-large
+hunt-large:
+	go build -o bin/ ./cmd/dogpath ./cmd/doghunt
+	./bin/doghunt --seed $(SEED) --seconds 30 --balancers 30 --servers 170 --callers 250
+
 # The seeds that failed once, each with its cause in the file.
 .PHONY: hunt-again
 hunt-again:
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -90,6 +90,10 @@
 	misses int
 }
 
+// mostOfAKind bounds the processes and callers of one kind: the last byte of their
+// loopback addresses tells them apart.
+const mostOfAKind = 254
+
 func (s *Soak) addr(block byte, i, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.Block, block, byte(i + 1)}), uint16(port))
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -97,6 +97,9 @@
 // Run plays faults for the length of the run, lets everything settle and checks
 // that callers are served again.
 func (s *Soak) Run() (Result, error) {
+	if max(s.Balancers, s.Servers, s.Callers) > mostOfAKind || min(s.Balancers, s.Servers, s.Callers) < 1 {
+		return Result{}, fmt.Errorf("there must be 1 to %d balancers, servers and callers", mostOfAKind)
+	}
 	defer s.stop()
 	if err := s.start(); err != nil {
 		return Result{}, err
