--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestSizesOutOfBoundsAreRefused(t *testing.T) {
-	for _, s := range []soak.Soak{
+	for _, s := range []*soak.Soak{
 		{Balancers: 255, Servers: 1, Callers: 1}, {Balancers: 1, Servers: 255, Callers: 1},
 		{Balancers: 1, Servers: 1, Callers: 255}, {Balancers: 0, Servers: 1, Callers: 1},
 	} {
