A repeated first packet is not searched for

A first packet whose cached owner had drained and fallen silent was parked like a packet of an open flow, and would have been searched for after that. Found by reading; the test failed before.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -114,7 +114,7 @@
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.cache.Get(now, hash); owner != 0 && !b.left(now, view, owner) {
-		if l := b.agents[owner]; l != nil && l.silent && b.Registry.undecided(now, view.agents[owner]) {
+		if l := b.agents[owner]; !p.First && l != nil && l.silent && b.Registry.undecided(now, view.agents[owner]) {
 			return b.park(now, p, m, true)
 		}
 		return b.offer(now, view, p, m, owner, view.agents[owner].Service)
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -141,6 +141,8 @@
 	assert.DeepEqual(t, w.drops, []steer.Reason{steer.StaleView})
 	_, ok := b.Resume(w.now)
 	assert.Assert(t, !ok, "without a newer word")
+	repeated := b.FromCaller(w.now, steer.Packet{Key: key(1000), First: true, Copy: 1}, &steer.Message{})
+	assert.Equal(t, repeated.Verdict, steer.Offer, "first packets are not searched for")
 	w.now += 5
 	b.Registry.Heard(w.now, w.now)
 	r, ok := b.Resume(w.now)
