--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -56,8 +56,11 @@
 	return least + time.Duration(s.pick(int(most-least)))
 }
 
-// restart ends a process and starts it again.
+// restart ends a process and starts it again. Faults overlap: one restart of a
+// process at a time, or the second would lose the process that the first started.
 func (s *Soak) restart(p *process, sig os.Signal) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	p.signal(sig)
 	p.wait()
 	time.Sleep(s.between(100*time.Millisecond, 900*time.Millisecond))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -63,6 +63,8 @@
 	cmd      *exec.Cmd
 	touched  time.Time // last fault
 	finished bool      // it is not started again
+
+	restarting sync.Mutex // held while it is ended and started again
 }
 
 // host is a backend server's host.
