The drivers share start, reading and timers; a flow's life is a setting

Cause: read as a newcomer. Two starts, four reading loops and two timer loops of one shape; four readers of settings of one shape; pkg/steer/agent.go had two jobs (what the server gets, and following its flows); 60 s as the longest life of a flow was a constant of the two sites; a failed question to the server's port, an unreadable denial and an unreadable packet of the server left no line; limits without a source. Ruled out: one type for both processes (they share no state but the socket loop), and deriving the pause after store changes from the drain bound (it is 3 s and more on all sites; PROOFS.md says what a shorter one would lose).

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -73,6 +73,7 @@
 	}
 	a.port = a.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	a.core.Service = steer.ServiceOf(a.Settings.Service)
+	a.core.FlowLife = flowLife(a.Settings.Path)
 	a.journal = newJournal(a.Log)
 	a.soon = time.NewTimer(queueInterval)
 	a.balancers = make(map[netip.AddrPort]bool)
@@ -124,15 +125,13 @@
 	}
 	running, end := context.WithCancel(context.Background())
 	defer end()
-	if err := servePages(running, a.Log, a.Settings.Path, func() bool { return ctx.Err() == nil }, a.set); err != nil {
+	pages := serviced{log: a.Log, path: a.Settings.Path, file: a.File, set: a.set, ready: func() bool { return ctx.Err() == nil }, reload: a.reload}
+	if err := pages.start(running); err != nil {
 		return err
 	}
 	go a.readBalancers()
 	go a.readServer()
-	go a.tick(running)
-	if a.File != "" {
-		go onChange(running, a.Log, a.File, a.reload)
-	}
+	go every(running, time.Second, a.soon.C, &a.mu, a.tick)
 	a.Log.Info("started", "server", a.Settings.Server, "service", a.Settings.Service)
 	<-ctx.Done()
 	a.goodbye()
@@ -166,10 +165,11 @@
 	a.core.Leave()
 	a.mu.Unlock()
 	m := steer.Message{Kind: steer.Goodbye}
-	if platform.ServerEnded(a.Settings.Server, endedTimeout) {
+	ended, err := platform.ServerEnded(a.Settings.Server, endedTimeout)
+	if ended {
 		m.Reason = steer.ServerGone
 	}
-	a.Log.Info("leaving", "server", m.Reason)
+	a.Log.Info("leaving", "serverEnded", ended, "err", err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for to := range a.balancers {
@@ -180,11 +180,9 @@
 // readBalancers handles the balancers' offers.
 func (a *Agent) readBalancers() {
 	var m steer.Message
-	receive(a.Log, a.packets, func(raw []byte, from netip.AddrPort) {
-		rest, err := m.Decode(raw[headRoom:])
-		a.mu.Lock()
-		defer a.mu.Unlock()
+	receive(a.Log, a.packets, &a.mu, func(raw []byte, from netip.AddrPort) {
 		now := a.Clock.Now()
+		rest, err := m.Decode(raw[headRoom:])
 		if err != nil {
 			a.journal.line(now, "offer dropped", "from", from, "err", err)
 			return
@@ -304,14 +302,13 @@
 // readServer handles the server's packets.
 func (a *Agent) readServer() {
 	var m steer.Message
-	receive(a.Log, a.outbound, func(raw []byte, _ netip.AddrPort) {
+	receive(a.Log, a.outbound, &a.mu, func(raw []byte, _ netip.AddrPort) {
+		now := a.Clock.Now()
 		p, ok := platform.DecodeServer(raw[headRoom:])
 		if !ok {
+			a.journal.line(now, "packet of the server dropped", "why", steer.Malformed)
 			return
 		}
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		now := a.Clock.Now()
 		out := a.core.FromServer(now, p, &m)
 		if p.Returned {
 			a.journal.line(now, "returned by the server", "flow", p.Key, "first", p.First, "decision", cause(out.Verdict, out.Reason))
@@ -322,21 +319,9 @@
 }
 
 // tick runs the timers.
-func (a *Agent) tick(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-a.soon.C:
-		}
-		a.mu.Lock()
-		now := a.Clock.Now()
-		a.checkSleep(now)
-		a.core.Tick(now)
-		a.release(now)
-		a.mu.Unlock()
-	}
+func (a *Agent) tick() {
+	now := a.Clock.Now()
+	a.checkSleep(now)
+	a.core.Tick(now)
+	a.release(now)
 }
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -71,6 +71,7 @@
 	}
 	b.port = b.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	b.core.CacheFlows = b.Settings.CacheFlows
+	b.core.Registry.FlowLife = flowLife(b.Settings.Path)
 	b.core.EvacuateBy = clock.Millis(b.Settings.EvacuateMs)
 	b.journal = newJournal(b.Log)
 	b.refresh, b.tooOld, b.listed = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
@@ -93,7 +94,8 @@
 	}
 	running, end := context.WithCancel(context.Background())
 	defer end()
-	if err := servePages(running, b.Log, b.Settings.Path, b.ready, b.counters.set); err != nil {
+	pages := serviced{log: b.Log, path: b.Settings.Path, file: b.File, set: b.counters.set, ready: b.ready, reload: b.reload}
+	if err := pages.start(running); err != nil {
 		return err
 	}
 	store := newStore(b.Settings.Store, b.Clock, b.faulty)
@@ -103,10 +105,7 @@
 		b.readCallers()
 	}()
 	go b.readAgents()
-	go b.tick(running)
-	if b.File != "" {
-		go onChange(running, b.Log, b.File, b.reload)
-	}
+	go every(running, tickInterval, nil, &b.mu, b.tick)
 	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store)
 	<-ctx.Done()
 	b.mu.Lock()
@@ -155,11 +154,9 @@
 // readCallers handles the callers' packets.
 func (b *Balancer) readCallers() {
 	var m steer.Message
-	receive(b.Log, b.packets, func(raw []byte, from netip.AddrPort) {
-		p, ok := platform.DecodeCaller(raw[headRoom:])
-		b.mu.Lock()
-		defer b.mu.Unlock()
+	receive(b.Log, b.packets, &b.mu, func(raw []byte, from netip.AddrPort) {
 		now := b.Clock.Now()
+		p, ok := platform.DecodeCaller(raw[headRoom:])
 		if !ok {
 			b.count(steer.Drop, steer.Malformed)
 			b.journal.line(now, "packet dropped", "from", from, "why", steer.Malformed)
@@ -177,12 +174,9 @@
 // readAgents handles the agents' messages.
 func (b *Balancer) readAgents() {
 	var m steer.Message
-	receive(b.Log, b.agents, func(raw []byte, from netip.AddrPort) {
+	receive(b.Log, b.agents, &b.mu, func(raw []byte, from netip.AddrPort) {
+		now, agent := b.Clock.Now(), steer.AgentOf(from.Addr())
 		rest, err := m.Decode(raw[headRoom:])
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		now := b.Clock.Now()
-		agent := steer.AgentOf(from.Addr())
 		switch {
 		case err != nil:
 			b.journal.line(now, "message dropped", "from", from, "err", err)
@@ -199,6 +193,7 @@
 	p, ok := platform.DecodeCaller(packet)
 	if !ok {
 		b.count(steer.Drop, steer.Malformed)
+		b.journal.line(now, "denied packet dropped", "agent", steer.AddrOf(agent), "why", steer.Malformed)
 		return
 	}
 	if p.First {
@@ -284,24 +279,13 @@
 }
 
 // tick runs the timers.
-func (b *Balancer) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		b.mu.Lock()
-		now := b.Clock.Now()
-		b.checkSleep(now)
-		for _, s := range b.core.Tick(now, b.ping) {
-			b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
-		}
-		b.resume(now)
-		b.mu.Unlock()
+func (b *Balancer) tick() {
+	now := b.Clock.Now()
+	b.checkSleep(now)
+	for _, s := range b.core.Tick(now, b.ping) {
+		b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 	}
+	b.resume(now)
 }
 
 func (b *Balancer) ping(agent place.ID) {
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/lines"
@@ -55,9 +56,9 @@
 // front of a packet.
 const headRoom = steer.MaxBytes
 
-// receive hands each datagram of a socket to handle, headRoom bytes into raw, until
-// the socket fails. The bytes are overwritten by the next datagram.
-func receive(logger *log.Logger, conn *net.UDPConn, handle func(raw []byte, from netip.AddrPort)) {
+// receive hands each datagram of a socket to handle, headRoom bytes into raw, with
+// the lock held, until the socket fails. The bytes are overwritten by the next one.
+func receive(logger *log.Logger, conn *net.UDPConn, lock *sync.Mutex, handle func(raw []byte, from netip.AddrPort)) {
 	buffer := make([]byte, headRoom+steer.MaxBytes+maxPacket)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer[headRoom:])
@@ -65,10 +66,56 @@
 			logger.Error("read packets", "socket", conn.LocalAddr(), "err", err)
 			return
 		}
+		lock.Lock()
 		handle(buffer[:headRoom+n], from)
+		lock.Unlock()
 	}
 }
 
+// every calls run with the lock held, at each interval and when soon fires, until
+// the context ends.
+func every(ctx context.Context, interval time.Duration, soon <-chan time.Time, lock *sync.Mutex, run func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-soon:
+		}
+		lock.Lock()
+		run()
+		lock.Unlock()
+	}
+}
+
+// serviced is what the two processes show and follow besides packets.
+type serviced struct {
+	log    *log.Logger
+	path   setup.Path
+	file   string // that the settings are read from again, if not empty
+	set    *metrics.Set
+	ready  func() bool
+	reload func() error
+}
+
+// start serves the pages and follows the settings file until the context ends.
+func (s serviced) start(ctx context.Context) error {
+	if err := serve(ctx, s.log, s.path.Ready, platform.ReadyHandler(s.ready)); err != nil {
+		return fmt.Errorf("open Path.Ready: %w", err)
+	}
+	if s.path.Metrics != "" {
+		if err := serve(ctx, s.log, s.path.Metrics, metricsHandler(s.set)); err != nil {
+			return fmt.Errorf("open Path.Metrics: %w", err)
+		}
+	}
+	if s.file != "" {
+		go onChange(ctx, s.log, s.file, s.reload)
+	}
+	return nil
+}
+
 // encode writes a message that has no packet.
 func encode(m steer.Message) []byte {
 	datagram := make([]byte, m.Size())
@@ -107,20 +154,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
 }
 
-// servePages starts the readiness page and the metrics page.
-func servePages(ctx context.Context, logger *log.Logger, p setup.Path, ready func() bool, set *metrics.Set) error {
-	if err := serve(ctx, logger, p.Ready, platform.ReadyHandler(ready)); err != nil {
-		return fmt.Errorf("open Path.Ready: %w", err)
-	}
-	if p.Metrics == "" {
-		return nil
-	}
-	if err := serve(ctx, logger, p.Metrics, metricsHandler(set)); err != nil {
-		return fmt.Errorf("open Path.Metrics: %w", err)
-	}
-	return nil
-}
-
 // journal writes decision lines, bounded.
 type journal struct {
 	log   *log.Logger
@@ -151,6 +184,9 @@
 	}
 }
 
+// flowLife is the longest life of a flow, 0 if the settings do not tell it.
+func flowLife(p setup.Path) clock.Millis { return clock.Millis(p.FlowLifeS) * clock.Second }
+
 // fixed is the part of the settings that takes effect at the start only.
 func fixed(p setup.Path) setup.Path {
 	p.LogLevel = ""
--- a/internal/path/reload.go
+++ b/internal/path/reload.go
@@ -23,7 +23,7 @@
 func stampOf(file string) stamp {
 	info, err := os.Stat(file)
 	if err != nil {
-		return stamp{}
+		return stamp{} // differs from the file's own, so that the reload reports why
 	}
 	return stamp{info.Size(), info.ModTime()}
 }
--- a/internal/path/wake.go
+++ b/internal/path/wake.go
@@ -24,7 +24,7 @@
 func (w *wake) gap() clock.Millis {
 	var at unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
-		return 0
+		return 0 // a kernel without this clock; the watch on the store bounds the view's age
 	}
 	now := clock.Millis(at.Nano() / 1e6)
 	last := w.last
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -9,6 +9,7 @@
 	Ready      string // address and TCP port that tells whether the process takes traffic
 	Metrics    string // address and TCP port of the metrics page; empty means none
 	LogLevel   string // debug, info, warn or error; empty means info
+	FlowLifeS  int    // longest life of a flow, seconds; 0 means 60
 }
 
 // PathBalancer is the settings file of a balancer of the packet path.
@@ -30,29 +31,25 @@
 
 // ReadPathBalancer reads the settings of a balancer of the packet path.
 func ReadPathBalancer(path string) (PathBalancer, error) {
-	var s PathBalancer
-	c := checker{path: path}
-	c.read(&s)
-	c.pathProcess(s.Path)
-	c.port("Store", s.Store)
-	c.port("Agents", s.Agents)
-	c.count("EvacuateMs", s.EvacuateMs)
-	c.count("CacheFlows", s.CacheFlows)
-	return s, c.err()
+	return readChecked(path, func(c *checker, s *PathBalancer) {
+		c.pathProcess(s.Path)
+		c.port("Store", s.Store)
+		c.port("Agents", s.Agents)
+		c.count("EvacuateMs", s.EvacuateMs)
+		c.count("CacheFlows", s.CacheFlows)
+	})
 }
 
 // ReadPathAgent reads the settings of an agent of the packet path.
 func ReadPathAgent(path string) (PathAgent, error) {
-	var s PathAgent
-	c := checker{path: path}
-	c.read(&s)
-	c.pathProcess(s.Path)
-	c.port("Outbound", s.Outbound)
-	c.port("Server", s.Server)
-	if s.Service == "" {
-		c.fault("Service", "must be set")
-	}
-	return s, c.err()
+	return readChecked(path, func(c *checker, s *PathAgent) {
+		c.pathProcess(s.Path)
+		c.port("Outbound", s.Outbound)
+		c.port("Server", s.Server)
+		if s.Service == "" {
+			c.fault("Service", "must be set")
+		}
+	})
 }
 
 func (c *checker) pathProcess(p Path) {
@@ -66,4 +63,5 @@
 		c.port("Path.Metrics", p.Metrics)
 	}
 	c.level("Path.LogLevel", p.LogLevel)
+	c.count("Path.FlowLifeS", p.FlowLifeS)
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -79,25 +79,30 @@
 
 // ReadBalancer reads a balancer's settings.
 func ReadBalancer(path string) (Balancer, error) {
-	var s Balancer
-	c := checker{path: path}
-	c.read(&s)
-	c.process(s.Process)
-	c.count("CacheFlows", s.CacheFlows)
-	return s, c.err()
+	return readChecked(path, func(c *checker, s *Balancer) {
+		c.process(s.Process)
+		c.count("CacheFlows", s.CacheFlows)
+	})
 }
 
 // ReadAgent reads an agent's settings.
 func ReadAgent(path string) (Agent, error) {
-	var s Agent
+	return readChecked(path, func(c *checker, s *Agent) {
+		c.process(s.Process)
+		c.port("Server.Packets", s.Server.Packets)
+		c.url("Server.URL", s.Server.URL)
+		if s.Requests != "" {
+			c.port("Requests", s.Requests)
+		}
+	})
+}
+
+// readChecked reads a settings file and returns all that check finds together.
+func readChecked[T any](path string, check func(*checker, *T)) (T, error) {
+	var s T
 	c := checker{path: path}
 	c.read(&s)
-	c.process(s.Process)
-	c.port("Server.Packets", s.Server.Packets)
-	c.url("Server.URL", s.Server.URL)
-	if s.Requests != "" {
-		c.port("Requests", s.Requests)
-	}
+	check(&c, &s)
 	return s, c.err()
 }
 
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -9,73 +9,28 @@
 
 // Times and limits of an agent.
 const (
-	// serverAnswer is how long a server may take to answer a first packet
-	// before it counts as silent.
+	// serverAnswer is how long a server may take to answer a first packet before
+	// it counts as silent: a healthy one takes a few milliseconds, and callers
+	// repeat theirs after 200.
 	serverAnswer = 150 * clock.Millis(1)
 	// trialInterval is the time between two new flows that a silent server is
-	// tried with.
+	// tried with: callers repeat a first packet as often.
 	trialInterval = 200 * clock.Millis(1)
-	// endedFor is how long an ended flow is still the server's to answer for.
-	endedFor = 10 * clock.Second
-	// idleFor is how long a flow is remembered without a packet: the users'
-	// longest life of a flow.
-	idleFor = 60 * clock.Second
-	// workFor is the longest time that a request counts as being worked on.
-	workFor = 8 * clock.Second
-	// leastOpening and mostOpening bound how long an opened flow is expected to
-	// bring its request: several round trips to the caller.
-	leastOpening = 20 * clock.Millis(1)
-	mostOpening  = 400 * clock.Millis(1)
-	// openingTrips is how many usual times a late request may take.
-	openingTrips = 4
 	// coldUntilTold is how long a server that has forgotten its flows counts as
-	// cold before a balancer has told so: the time that its entry takes.
+	// cold before a balancer has told so: servers write their entries about every
+	// second, and balancers gather changes for up to 700 ms.
 	coldUntilTold = 2 * clock.Second
-	// staleFor is how long first packets are dropped after the process has slept:
-	// what waits in the sockets from before is read within it.
+	// staleFor is how long packets from before a pause are still read from the
+	// sockets: a full one is emptied in some milliseconds.
 	staleFor = 50 * clock.Millis(1)
-	// ackWindow is how far beyond the server's first number a caller's
-	// acknowledgement may be for the flow to be this server's.
+	// ackWindow is how far beyond the server's first number a caller's first
+	// acknowledgement may be for the flow to be this server's: a flow's bytes are
+	// far fewer, and two servers' random numbers are rarely as close.
 	ackWindow = 1 << 24
 	// goneAfter is how long a server without an entry must have been silent to
-	// packets before its flows count as lost.
+	// packets before its flows count as lost: callers repeat a packet after 200 and
+	// 600 ms, so it has had three.
 	goneAfter = 800 * clock.Millis(1)
-	// meanShare is the share of each new value in a smoothed mean.
-	meanShare = 0.1
-)
-
-// phase is how far a flow has come at this agent.
-type phase uint8
-
-const (
-	trying  phase = iota // handed to the server, which has not answered yet
-	opening              // first packet handed over
-	opened               // the server has sent something on it
-	ended                // one end has reset it, or both have finished
-	denied               // the server returned it
-)
-
-// entry is one flow.
-type entry struct {
-	from     netip.AddrPort // balancer that sent the last packet
-	seen     clock.Millis
-	began    clock.Millis // when the present phase or request began
-	lastSeq  uint32       // end of the data that the caller has sent
-	firstAck uint32       // what the caller's first acknowledgement must exceed
-	phase    phase
-	known    bool // firstAck is known
-	brought  bool // the caller has sent data
-	working  bool // a request is in progress
-	asked    bool // the balancer wants to hear who holds the flow
-	lasts    uint8
-	message  *Message     // of a packet that the server may return
-	goal     clock.Millis // response-time goal of its route
-}
-
-// Halves of a flow that have finished.
-const (
-	callerDone = 1 << 0
-	serverDone = 1 << 1
 )
 
 // Counts are an agent's counters since its start.
@@ -92,6 +47,8 @@
 type Agent struct {
 	Service ServiceID
 	Slots   int // 0 until a balancer has said it
+	// FlowLife is the longest life of a flow, 0 means DefaultFlowLife.
+	FlowLife clock.Millis
 	// Answered is called with the time of each answer, from the request to its
 	// first byte, and with the goal of its route, 0 if there is none, if set.
 	Answered func(took, goal clock.Millis)
@@ -310,71 +267,12 @@
 	return out
 }
 
-// keep remembers the message of a packet that the server may return, so that the
-// agents which denied it before are not asked again.
-func (e *entry) keep(m *Message) {
-	if e.message == nil {
-		e.message = new(Message)
-	}
-	*e.message = *m
-}
-
-// track follows the caller's half of a flow.
-func (a *Agent) track(now clock.Millis, p Packet, e *entry) {
-	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.lastSeq == 0 || int32(end-e.lastSeq) > 0) {
-		if !e.brought && e.known {
-			a.trip += (float64(now-e.began) - a.trip) * meanShare
-		}
-		e.lastSeq, e.brought = end, true
-		a.setWorking(e, true, now)
-	}
-	if p.Last {
-		e.lasts |= callerDone
-	}
-	if p.Reset || e.lasts == callerDone|serverDone {
-		a.end(now, e)
-	}
-}
-
-// openingFor is how long an opened flow counts as about to bring a request.
-func (a *Agent) openingFor() clock.Millis {
-	return max(leastOpening, min(mostOpening, clock.Millis(openingTrips*a.trip)))
-}
-
 func (a *Agent) delivered(now clock.Millis) {
 	if a.sent == 0 {
 		a.sent = now
 	}
 }
 
-// setWorking keeps the count of requests in progress.
-func (a *Agent) setWorking(e *entry, working bool, now clock.Millis) {
-	if working {
-		e.began = now
-	}
-	if e.working == working {
-		return
-	}
-	e.working = working
-	if working {
-		a.load++
-	} else {
-		a.load--
-	}
-}
-
-func (a *Agent) end(now clock.Millis, e *entry) {
-	a.setWorking(e, false, now)
-	if e.phase != ended {
-		e.phase, e.began = ended, now
-	}
-}
-
-func (a *Agent) drop(key flow.Key, e *entry) {
-	a.setWorking(e, false, 0)
-	delete(a.flows, key)
-}
-
 // FromServer decides on a packet of the server. If the server returned it and it
 // is denied, the message is the one that goes back with it.
 func (a *Agent) FromServer(now clock.Millis, p Packet, m *Message) Outcome {
@@ -407,34 +305,6 @@
 	return out
 }
 
-// trackServer follows the server's half of a flow.
-func (a *Agent) trackServer(now clock.Millis, p Packet, e *entry) {
-	if p.Bytes > 0 && e.working {
-		a.sample(now - e.began)
-		if a.Answered != nil {
-			a.Answered(now-e.began, e.goal)
-		}
-		a.setWorking(e, false, now)
-	}
-	if p.Last {
-		e.lasts |= serverDone
-	}
-	if p.Reset || e.lasts == callerDone|serverDone {
-		a.end(now, e)
-	}
-}
-
-// sample takes the time of one answer, if the request did not have to queue.
-func (a *Agent) sample(took clock.Millis) {
-	if a.Slots > 0 && a.load > a.Slots {
-		return
-	}
-	if a.work == 0 {
-		a.work = float64(took)
-	}
-	a.work += (float64(took) - a.work) * meanShare
-}
-
 // returned handles a packet that the server did not accept.
 func (a *Agent) returned(now clock.Millis, p Packet, e *entry, m *Message) Outcome {
 	a.counts.Returned++
@@ -472,7 +342,7 @@
 // Replace says that the server now belongs to another service: nothing that was
 // learned holds for it.
 func (a *Agent) Replace(service ServiceID) {
-	*a = Agent{Service: service, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, leaving: a.leaving}
+	*a = Agent{Service: service, FlowLife: a.FlowLife, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, leaving: a.leaving}
 }
 
 // Woken says that the process has slept. First packets that waited meanwhile were
@@ -484,20 +354,3 @@
 
 // Leave says that this process is about to end: no new flows.
 func (a *Agent) Leave() { a.leaving = true }
-
-// Tick forgets flows that have ended, been idle or been denied for long, and
-// requests that never came. Call it about once a second, and every few
-// milliseconds while first packets wait.
-func (a *Agent) Tick(now clock.Millis) {
-	for key, e := range a.flows {
-		switch {
-		case e.working && (now-e.began >= workFor || !e.brought && e.phase != opening && now-e.began >= a.openingFor()):
-			if e.brought && a.Unanswered != nil {
-				a.Unanswered()
-			}
-			a.setWorking(e, false, now)
-		case e.phase == ended && now-e.began >= endedFor, now-e.seen >= idleFor:
-			a.drop(key, e)
-		}
-	}
-}
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -93,14 +93,15 @@
 	entriesBack = 2100 * clock.Millis(1)
 	// recheck is the time between two looks at what could not be concluded.
 	recheck = 100 * clock.Millis(1)
-	// missingKept is how long a server without an entry is still asked for its
-	// flows: the users' longest life of a flow.
-	missingKept = 60 * clock.Second
 )
 
 // Registry holds what a balancer believes of routes, servers and data centres.
 // It is not safe for concurrent use. The zero value knows nothing.
 type Registry struct {
+	// FlowLife is the longest life of a flow, and so how long a server without an
+	// entry is still asked for its flows. 0 means DefaultFlowLife.
+	FlowLife clock.Millis
+
 	config  *Config
 	servers map[string]*Server
 	out     map[string]outage // data centres that have been taken out
@@ -248,7 +249,7 @@
 		return []Note{{Subject: "configuration", State: "stale version ignored", Version: c.Version}}
 	}
 	if r.config != nil {
-		c.Routes = withFormer(now, c.Routes, r.config.Routes)
+		c.Routes = withFormer(now, now+orDefault(r.FlowLife), c.Routes, r.config.Routes)
 	}
 	r.config = &c
 	r.view = nil
@@ -256,8 +257,8 @@
 }
 
 // withFormer adds to each route the services that the configuration before sent its
-// flows to, since open flows stay where they are.
-func withFormer(now clock.Millis, routes, before []Route) []Route {
+// flows to, until the last of these has ended, since open flows stay where they are.
+func withFormer(now, until clock.Millis, routes, before []Route) []Route {
 	old := make(map[netip.AddrPort][]Target, len(before))
 	for _, r := range before {
 		old[r.Address] = r.Targets
@@ -266,7 +267,7 @@
 	for i, r := range out {
 		for _, t := range old[r.Address] {
 			if t.until == 0 {
-				t.until = now + missingKept
+				t.until = until
 			}
 			named := slices.ContainsFunc(out[i].Targets, func(other Target) bool { return other.Service == t.Service })
 			if !named && now < t.until {
@@ -326,7 +327,7 @@
 
 func (r *Registry) forget(now clock.Millis) {
 	for name, s := range r.servers {
-		if s.missing != 0 && now-s.missing >= missingKept {
+		if s.missing != 0 && now-s.missing >= orDefault(r.FlowLife) {
 			delete(r.servers, name)
 		}
 	}
@@ -345,7 +346,7 @@
 			return Serving, until
 		}
 	}
-	return Missing, s.missing + missingKept
+	return Missing, s.missing + orDefault(r.FlowLife)
 }
 
 // due is when the entry of a server without one should have returned.
--- a/pkg/steer/registry_test.go
+++ b/pkg/steer/registry_test.go
@@ -177,3 +177,26 @@
 	w.open(w.balancers[0], 1001)
 	assert.Equal(t, len(w.resets), 2)
 }
+
+// A server without an entry may hold flows until the last of them has reached the
+// longest life that the settings allow.
+func TestServerWithoutAnEntryIsAskedForTheLifeOfItsFlows(t *testing.T) {
+	for _, row := range []struct {
+		life, after clock.Millis
+		asked       bool
+	}{
+		{0, 59 * clock.Second, true},
+		{0, 61 * clock.Second, false},
+		{120 * clock.Second, 119 * clock.Second, true},
+		{10 * clock.Second, 11 * clock.Second, false},
+	} {
+		w := newWorld(t, 2, 1)
+		b := w.balancers[0]
+		b.Registry.FlowLife = row.life
+		owner := w.open(b, 1000)
+		w.tell(steer.Change{Server: w.entry(w.idOf(owner), steer.Leaving)}, steer.Change{Removed: owner.name})
+		w.now += row.after
+		w.tell()
+		assert.Equal(t, w.send(b, data(1000, owner.server)) == owner, row.asked, "%d of %d ms", row.after, row.life)
+	}
+}
