Reset flows of unreachable servers, and leave the rotation when cut off

Cause: an entry host that reaches no agent stayed in rotation and lost all its callers' packets until the cut healed. A flow whose holder can't be reached got silence until the caller's time limit, which is most of what fails in a cut.

Change: a balancer is ready only while at least half of the listed agents reply. Once an agent has been silent for a second without having announced a shutdown, flows of routes whose requests may be repeated are reset, by the known owner and by the search, unless most agents are silent: then this host is the one cut off. Reachability has a file of its own, reach.go.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -19,15 +19,6 @@
 	// packet while the flow's holder may be unreachable. The users count three
 	// wrong servers as a misrouted packet.
 	maxUncertainOffers = 2
-	// agentAnswerTimeout is the time after which an agent that has not replied to a
-	// SYN or ping counts as silent. With a healthy server the reply takes a few
-	// milliseconds; the rest allows for a busy host.
-	agentAnswerTimeout = 120 * clock.Millis(1)
-	// departureTimeout is how long the agent of an unlisted server must leave pings
-	// unanswered before agent and server count as gone.
-	departureTimeout = clock.Second
-	// pingInterval is the time between two pings to a silent agent.
-	pingInterval = 200 * clock.Millis(1)
 )
 
 // Decision says what the balancer does with a packet, and why.
@@ -54,27 +45,12 @@
 	owners       *flow.Cache
 	agentStates  map[place.ID]*agentState
 	needsRefresh bool // the process was suspended, and its view may be outdated
+	cutOff       bool // most listed agents were silent at the last Tick
 	parked       []parkedPacket
 
 	backlogUntil clock.Millis // until then, SYNs may have been received before a pause
 }
 
-// agentState is the reachability of one agent.
-type agentState struct {
-	unansweredSince clock.Millis // time of the oldest SYN or ping without a reply, 0 if none
-	lastPing        clock.Millis
-	silent          bool // has not replied in time, or announced its shutdown
-	// endedRevision is the revision of the server's entry when the agent reported
-	// that the server has ended, 0 if it has not.
-	endedRevision uint64
-}
-
-// SilentAgent is an agent that no longer replies.
-type SilentAgent struct {
-	Agent place.ID
-	Since clock.Millis // time of the oldest message without a reply
-}
-
 func (b *Balancer) init() {
 	if b.owners != nil {
 		return
@@ -86,10 +62,11 @@
 	b.agentStates = make(map[place.ID]*agentState)
 }
 
-// Ready reports whether the balancer can assign new flows to servers.
+// Ready reports whether the routers should send packets to the balancer: it can assign
+// new flows to servers and reaches most agents.
 func (b *Balancer) Ready(now clock.Millis) bool {
 	view := b.Registry.View(now)
-	return view != nil && view.Servers() > 0 && !b.needsRefresh
+	return view != nil && view.Servers() > 0 && !b.needsRefresh && !b.cutOff
 }
 
 // RecordSuspension records that the process did not run for so long that its view may be
@@ -121,8 +98,11 @@
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) {
-		if state := b.agentStates[owner]; !p.SYN && state != nil && state.silent && b.Registry.returnUndecided(now, view.serverByAgent[owner]) {
+		switch {
+		case !p.SYN && b.isSilent(owner) && b.Registry.returnUndecided(now, view.serverByAgent[owner]):
 			return b.park(now, p, m, true)
+		case !p.SYN && b.unreachable(now, owner) && b.mayAbandon(route):
+			return Decision{Verdict: Refuse, Reason: Unreachable, Service: route.service()}
 		}
 		return b.offer(now, view, p, m, owner, view.serverByAgent[owner].Service)
 	}
@@ -132,18 +112,6 @@
 	return b.search(now, view, route, hash, p, m)
 }
 
-// departed reports whether an agent's server has ended, and its flows with it: its agent
-// has reported that, or does not answer and the entry has not returned in time, or the
-// view no longer holds the server.
-func (b *Balancer) departed(now clock.Millis, view *View, id place.ID) bool {
-	state, s := b.agentStates[id], view.serverByAgent[id]
-	if state != nil && s != nil && state.endedRevision == s.Revision {
-		return true
-	}
-	unanswered := state != nil && state.silent && state.unansweredSince != 0 && now-state.unansweredSince >= departureTimeout
-	return s == nil || unanswered && b.unlistedForGood(view, id)
-}
-
 // Denied decides on a packet that an agent has denied. m is the message that the
 // agent returned with it.
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
@@ -245,7 +213,7 @@
 		id := ranked[(i+skip)%len(ranked)]
 		switch {
 		case m.visited(id), b.departed(now, view, id):
-		case b.agentStates[id] == nil || !b.agentStates[id].silent:
+		case !b.isSilent(id):
 			return id
 		case fallback == 0:
 			fallback = id
@@ -284,7 +252,11 @@
 	case !b.viewConclusive(now):
 		return b.park(now, p, m, false)
 	}
-	return Decision{Verdict: Refuse, Reason: AllDenied, Service: route.service()}
+	reason := AllDenied
+	if h.anyAbandoned {
+		reason = Unreachable
+	}
+	return Decision{Verdict: Refuse, Reason: reason, Service: route.service()}
 }
 
 // holderSearch is the result of a pass over the agents whose servers may hold a flow.
@@ -295,6 +267,7 @@
 	silentService  string   // of silent
 	skippedEarlier bool     // an unreachable agent precedes next in the flow's order
 	anyUnreachable bool     // some agents are silent or their data centre is evacuated
+	anyAbandoned   bool     // the flow may be reset although some agents are unreachable
 	anyEvacuated   bool     // some agents are in an evacuated data centre
 	needsUpdate    bool     // newer data of the platform may show that a silent agent is gone
 }
@@ -302,6 +275,7 @@
 // findHolder looks for the next agent to ask in the flow's order.
 func (b *Balancer) findHolder(now clock.Millis, view *View, route *Route, hash uint64, m *Message) holderSearch {
 	var h holderSearch
+	abandon := b.mayAbandon(route)
 	for _, target := range route.Targets {
 		pool := view.services[target.Service]
 		if pool == nil {
@@ -309,24 +283,29 @@
 		}
 		var ranked [MaxVisited]place.ID
 		for _, id := range ranked[:pool.holders.Rank(hash, ranked[:])] {
-			b.considerHolder(now, view, id, target.Service, m, &h)
+			b.considerHolder(now, view, id, target.Service, abandon, m, &h)
 		}
 		if h.next == 0 { // a ranking does not hold all agents of a large service
 			for _, id := range pool.holders.IDs() {
-				b.considerHolder(now, view, id, target.Service, m, &h)
+				b.considerHolder(now, view, id, target.Service, abandon, m, &h)
 			}
 		}
 	}
 	return h
 }
 
-// considerHolder adds one agent to the result of a search.
-func (b *Balancer) considerHolder(now clock.Millis, view *View, id place.ID, service string, m *Message, h *holderSearch) {
+// considerHolder adds one agent to the result of a search. With abandon, unreachable
+// agents are passed over.
+func (b *Balancer) considerHolder(now clock.Millis, view *View, id place.ID, service string, abandon bool, m *Message, h *holderSearch) {
 	switch {
 	case m.visited(id), view.holdsNoFlows(id), b.departed(now, view, id):
 	case b.evacuationEnded(now, view, id):
 		h.anyEvacuated, h.anyUnreachable = true, true
-	case b.agentStates[id] != nil && b.agentStates[id].silent:
+	case b.isSilent(id):
+		if abandon && b.unreachable(now, id) {
+			h.anyAbandoned = true
+			return
+		}
 		h.anyUnreachable = true
 		h.needsUpdate = h.needsUpdate || b.Registry.returnUndecided(now, view.serverByAgent[id])
 		if h.silent == 0 {
@@ -337,13 +316,6 @@
 	}
 }
 
-// unlistedForGood reports whether an agent's server is no longer listed and its entry
-// has had enough time to return while the platform was available.
-func (b *Balancer) unlistedForGood(view *View, id place.ID) bool {
-	s := view.serverByAgent[id]
-	return s == nil || s.State == Unlisted && b.Registry.returnTimedOut(s)
-}
-
 // evacuationEnded reports whether an agent's data centre was taken out of service so
 // long ago that the agent receives no more packets.
 func (b *Balancer) evacuationEnded(now clock.Millis, view *View, id place.ID) bool {
@@ -385,30 +357,6 @@
 	m.ColdLeft = max(0, s.ColdUntil-now)
 }
 
-// expectAnswer records that a reply of an agent is outstanding.
-func (b *Balancer) expectAnswer(now clock.Millis, id place.ID) {
-	state := b.agentStates[id]
-	if state == nil {
-		state = &agentState{}
-		b.agentStates[id] = state
-	}
-	if state.unansweredSince == 0 {
-		state.unansweredSince = now
-	}
-}
-
-// recordAnswer records a message from an agent, of whatever kind. It reports whether
-// the agent had been silent.
-func (b *Balancer) recordAnswer(id place.ID) bool {
-	state := b.agentStates[id]
-	if state == nil {
-		return false
-	}
-	wasSilent := state.silent
-	state.unansweredSince, state.silent, state.endedRevision = 0, false, 0
-	return wasSilent
-}
-
 // HandleMessage handles a message without a packet. It reports whether the agent had been
 // silent and now replies again.
 func (b *Balancer) HandleMessage(now clock.Millis, from place.ID, m *Message) bool {
@@ -423,40 +371,3 @@
 	}
 	return wasSilent
 }
-
-// recordShutdown records that an agent's process shuts down, and whether its server
-// had ended before.
-func (b *Balancer) recordShutdown(now clock.Millis, from place.ID, reason Reason) {
-	b.expectAnswer(now, from)
-	state := b.agentStates[from]
-	state.silent, state.unansweredSince = true, now
-	if view := b.Registry.View(now); reason == ServerGone && view != nil && view.serverByAgent[from] != nil {
-		state.endedRevision = view.serverByAgent[from].Revision
-	}
-}
-
-// Tick returns the agents that have become silent since the last call, and calls ping
-// for those that are due a ping. Call it several times a second.
-func (b *Balancer) Tick(now clock.Millis, ping func(place.ID)) []SilentAgent {
-	b.init()
-	var newlySilent []SilentAgent
-	view := b.Registry.View(now)
-	for id, state := range b.agentStates {
-		if view != nil && view.serverByAgent[id] == nil {
-			delete(b.agentStates, id)
-			continue
-		}
-		if state.unansweredSince == 0 || now-state.unansweredSince < agentAnswerTimeout {
-			continue
-		}
-		if !state.silent {
-			state.silent = true
-			newlySilent = append(newlySilent, SilentAgent{Agent: id, Since: state.unansweredSince})
-		}
-		if now-state.lastPing >= pingInterval {
-			state.lastPing = now
-			ping(id)
-		}
-	}
-	return newlySilent
-}
--- /dev/null
+++ b/pkg/steer/reach.go
@@ -0,0 +1,155 @@
+package steer
+
+import (
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/place"
+)
+
+// Times by which a balancer judges whether it reaches an agent.
+const (
+	// agentAnswerTimeout is the time after which an agent that has not replied to a
+	// SYN or ping counts as silent. With a healthy server the reply takes a few
+	// milliseconds; the rest allows for a busy host.
+	agentAnswerTimeout = 120 * clock.Millis(1)
+	// departureTimeout is how long the agent of an unlisted server must leave pings
+	// unanswered before agent and server count as gone.
+	departureTimeout = clock.Second
+	// unreachableTimeout is how long an agent must be silent before the flows of its
+	// server count as unreachable: an agent that restarts beside a running server
+	// answers again within half of it.
+	unreachableTimeout = clock.Second
+	// pingInterval is the time between two pings to a silent agent.
+	pingInterval = 200 * clock.Millis(1)
+)
+
+// agentState is the reachability of one agent.
+type agentState struct {
+	unansweredSince clock.Millis // time of the oldest SYN or ping without a reply, 0 if none
+	lastPing        clock.Millis
+	silent          bool // has not replied in time, or announced its shutdown
+	shutDown        bool // announced its shutdown, and has not replied since
+	// endedRevision is the revision of the server's entry when the agent reported
+	// that the server has ended, 0 if it has not.
+	endedRevision uint64
+}
+
+// SilentAgent is an agent that no longer replies.
+type SilentAgent struct {
+	Agent place.ID
+	Since clock.Millis // time of the oldest message without a reply
+}
+
+// isSilent reports whether an agent has not replied in time, or announced its shutdown.
+func (b *Balancer) isSilent(id place.ID) bool {
+	state := b.agentStates[id]
+	return state != nil && state.silent
+}
+
+// unreachable reports whether an agent has been silent for unreachableTimeout although
+// it announced no shutdown.
+func (b *Balancer) unreachable(now clock.Millis, id place.ID) bool {
+	state := b.agentStates[id]
+	return state != nil && state.silent && !state.shutDown && now-state.unansweredSince >= unreachableTimeout
+}
+
+// mostSilent reports whether most of the listed agents are silent. This balancer's host
+// is then more likely to be cut off than theirs.
+func (b *Balancer) mostSilent(view *View) bool {
+	listed, silent := 0, 0
+	for id, s := range view.serverByAgent {
+		if s.State == Unlisted {
+			continue
+		}
+		listed++
+		if b.isSilent(id) {
+			silent++
+		}
+	}
+	return 2*silent > listed
+}
+
+// mayAbandon reports whether a flow whose holder is unreachable may be reset, so that
+// its caller need not wait for its own time limit: its requests may be repeated, and it
+// is not this balancer's host that is cut off.
+func (b *Balancer) mayAbandon(route *Route) bool { return route.Repeatable && !b.cutOff }
+
+// departed reports whether an agent's server has ended, and its flows with it: its agent
+// has reported that, or does not answer and the entry has not returned in time, or the
+// view no longer holds the server.
+func (b *Balancer) departed(now clock.Millis, view *View, id place.ID) bool {
+	state, s := b.agentStates[id], view.serverByAgent[id]
+	if state != nil && s != nil && state.endedRevision == s.Revision {
+		return true
+	}
+	unanswered := state != nil && state.silent && state.unansweredSince != 0 && now-state.unansweredSince >= departureTimeout
+	return s == nil || unanswered && b.unlistedForGood(view, id)
+}
+
+// unlistedForGood reports whether an agent's server is no longer listed and its entry
+// has had enough time to return while the platform was available.
+func (b *Balancer) unlistedForGood(view *View, id place.ID) bool {
+	s := view.serverByAgent[id]
+	return s == nil || s.State == Unlisted && b.Registry.returnTimedOut(s)
+}
+
+// expectAnswer records that a reply of an agent is outstanding.
+func (b *Balancer) expectAnswer(now clock.Millis, id place.ID) {
+	state := b.agentStates[id]
+	if state == nil {
+		state = &agentState{}
+		b.agentStates[id] = state
+	}
+	if state.unansweredSince == 0 {
+		state.unansweredSince = now
+	}
+}
+
+// recordAnswer records a message from an agent, of whatever kind. It reports whether
+// the agent had been silent.
+func (b *Balancer) recordAnswer(id place.ID) bool {
+	state := b.agentStates[id]
+	if state == nil {
+		return false
+	}
+	wasSilent := state.silent
+	state.unansweredSince, state.silent, state.shutDown, state.endedRevision = 0, false, false, 0
+	return wasSilent
+}
+
+// recordShutdown records that an agent's process shuts down, and whether its server
+// had ended before.
+func (b *Balancer) recordShutdown(now clock.Millis, from place.ID, reason Reason) {
+	b.expectAnswer(now, from)
+	state := b.agentStates[from]
+	state.silent, state.shutDown, state.unansweredSince = true, true, now
+	if view := b.Registry.View(now); reason == ServerGone && view != nil && view.serverByAgent[from] != nil {
+		state.endedRevision = view.serverByAgent[from].Revision
+	}
+}
+
+// Tick returns the agents that have become silent since the last call, and calls ping
+// for those that are due a ping. Call it several times a second.
+func (b *Balancer) Tick(now clock.Millis, ping func(place.ID)) []SilentAgent {
+	b.init()
+	var newlySilent []SilentAgent
+	view := b.Registry.View(now)
+	b.cutOff = view != nil && b.mostSilent(view)
+	for id, state := range b.agentStates {
+		if view != nil && view.serverByAgent[id] == nil {
+			delete(b.agentStates, id)
+			continue
+		}
+		if state.unansweredSince == 0 || now-state.unansweredSince < agentAnswerTimeout {
+			continue
+		}
+		if !state.silent {
+			state.silent = true
+			newlySilent = append(newlySilent, SilentAgent{Agent: id, Since: state.unansweredSince})
+		}
+		if now-state.lastPing >= pingInterval {
+			state.lastPing = now
+			ping(id)
+		}
+	}
+	return newlySilent
+}
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -57,6 +57,9 @@
 	Targets  []Target
 	Goal     clock.Millis // response-time goal of its requests
 	Priority int          // of its requests, 0 is the most urgent
+	// Repeatable says whether callers may repeat its requests, even ones that may
+	// have run.
+	Repeatable bool
 }
 
 // Service holds the settings of one service's servers.
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -98,6 +98,8 @@
 	Queued
 	// The packet acknowledges a sequence number of another server.
 	AckMismatch // Misplaced
+	// The agent that may hold the flow has been silent for too long.
+	Unreachable // Unreachable
 )
 
 // Certain reports whether a denial with this reason proves that the server does not
