Order the store's revisions by its era, and take nothing back on a restore

Cause: the users' store may come back from a copy some seconds old. Its revisions go back and are given out again, and the header Store-Era rises. An entry written after that was ignored as older than the one known, at balancers and agents, and a listing of the copy took back drains, evacuations and newer runs of servers.

Change: a revision has the era in its upper 16 bits, so that one comparison orders both, also in messages between balancers and agents, whose format stays. A watch that meets another era returns ErrRestored, and the store is listed again. For 2.1 s (the time that servers take to write again) such a listing takes back no drain, no evacuation and no newer run; then the store is believed. Meanwhile no flow is reset for want of a holder, since the copy may lack one. An agent keeps a drain against balancers that started since. A lower version of the configuration stays ignored. Whether a server is younger than an evacuation is told only within one era. Counter dogwood_store_restores_total, a warning in the log, a fault in the soak, a copy in the store's stand-in.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -47,6 +47,8 @@
 	firstListing      chan struct{} // closed after the first listing
 	closeFirstListing sync.Once
 	batchPause        time.Duration // last pause after changes; used by watchStore only
+	storeEra          uint64        // of the last listing; used by watchStore only
+	hasEra            bool          // storeEra is set
 	packets           *net.UDPConn  // for packets of callers and resets to them
 	agents            *net.UDPConn  // for messages from and to agents
 	packetPort        uint16        // of callers and agents, the same as that of packets
@@ -59,6 +61,7 @@
 	decisions     map[string]*metrics.Counter // by decisionText
 	storeCalls    *metrics.Counter
 	storeFailures *metrics.Counter
+	storeRestores *metrics.Counter
 	listTime      *metrics.Histogram
 	serviceLevel  serviceLevel
 }
@@ -84,6 +87,7 @@
 		set: set, decisions: make(map[string]*metrics.Counter),
 		storeCalls:    set.NewCounter("dogwood_store_calls_total"),
 		storeFailures: set.NewCounter("dogwood_store_failures_total"),
+		storeRestores: set.NewCounter("dogwood_store_restores_total"),
 		listTime:      set.NewHistogram("dogwood_store_list_seconds"),
 	}
 	b.stats.serviceLevel = serviceLevel{set: set, clock: b.Clock, dataCentre: b.Settings.Path.DataCentre}
@@ -295,6 +299,7 @@
 	for _, s := range b.core.Tick(now, b.sendPing) {
 		b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 	}
+	b.logEvents(now, b.core.Registry.ApplyHeld(now), 0)
 	b.resumeParked(now)
 }
 
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -314,3 +314,21 @@
 	f.eventually(func() bool { return f.logs.contains("version=3") }, "the balancer applies the change")
 	assert.Assert(t, f.logs.contains("entry ignored"))
 }
+
+// Between the copy and the restore a server has drained, and the configuration has
+// changed. Neither is taken back.
+func TestRestoredStoreKeepsDrainAndConfiguration(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.store.Save()
+	f.publish(0, "draining")
+	f.configure(2)
+	f.eventually(func() bool { return f.logs.contains("state=Leaving") && f.logs.contains("version=2") }, "the balancer applies the changes")
+	f.store.Restore()
+	f.configure(1)
+	f.eventually(func() bool { return f.logs.contains("store restored from an older copy") }, "the balancer lists the store again")
+	for range 10 {
+		_, server := f.openFlow("after")
+		assert.Equal(t, server, "s1")
+	}
+	assert.Assert(t, strings.Contains(f.metricsPage("balancer", 0), "dogwood_store_restores_total 1"))
+}
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -65,7 +65,7 @@
 		}
 		b.requestRefresh() // the next call should return without waiting for changes
 		b.stats.storeFailures.Inc()
-		if errors.Is(err, platform.ErrHistoryGone) {
+		if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrRestored) {
 			b.Log.Warn("listing the store again", "revision", revision, "err", err)
 			revision = 0
 			continue
@@ -88,6 +88,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.recordAnswer(requestedAt, revision)
+	b.recordEra(now, store.Era())
 	b.logEvents(now, b.core.Registry.ApplyListing(now, changes), revision)
 	b.core.RecordRefresh()
 	b.resumeParked(now)
@@ -96,6 +97,17 @@
 	return revision, nil
 }
 
+// recordEra records the era of a listing. A new era means that the store was restored
+// from an older copy. The caller holds b.mu.
+func (b *Balancer) recordEra(now clock.Millis, era uint64) {
+	if b.hasEra && era != b.storeEra {
+		b.stats.storeRestores.Inc()
+		b.core.Registry.RecordRestore(now)
+		b.Log.Warn("store restored from an older copy", "era", era, "before", b.storeEra)
+	}
+	b.storeEra, b.hasEra = era, true
+}
+
 // watchOnce waits once for changes after a revision and returns the revision to
 // continue from. It returns early if a decision needs a newer view, and after a
 // suspension, then with revision 0, so that the store is listed again.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,7 @@
 	{"server drained and replaced", func(s *Soak) { s.drainServer() }},
 	{"data centre evacuated", func(s *Soak) { s.evacuateDataCentre() }},
 	{"balancer and agent reload settings (SIGHUP)", func(s *Soak) { s.pickBalancer().signal(syscall.SIGHUP); s.pickHost().agent.signal(syscall.SIGHUP) }},
+	{"store restored from an older copy", func(s *Soak) { s.restoreStore() }},
 }
 
 func (s *Soak) pickBalancer() *balancer { return s.balancers[s.randomInt(len(s.balancers))] }
@@ -97,6 +98,35 @@
 	s.checks.recordStoreFault()
 }
 
+// restoreStore ends an outage of the store with a copy that is 0.5 to 4 s old. Up to a
+// second later the servers and the operator write again what it lacks.
+func (s *Soak) restoreStore() {
+	s.store.Save()
+	time.Sleep(s.randomDuration(300*time.Millisecond, 3*time.Second))
+	s.checks.recordStoreFault()
+	s.store.SetTrouble(fakes.Busy)
+	time.Sleep(s.randomDuration(200*time.Millisecond, time.Second))
+	s.store.Restore()
+	s.store.SetTrouble(fakes.Healthy)
+	time.Sleep(s.randomDuration(0, time.Second))
+	for _, h := range s.hosts {
+		h.mu.Lock()
+		if h.serverState == "gone" {
+			s.store.Withdraw(h.serverName)
+		} else {
+			s.publish(h)
+		}
+		h.mu.Unlock()
+	}
+	s.checks.mu.Lock()
+	defer s.checks.mu.Unlock()
+	for _, h := range s.hosts {
+		_, evacuated := s.checks.evacuatedSince[h.dataCentre]
+		s.store.Evacuate(h.dataCentre, evacuated)
+	}
+	s.checks.lastStoreFault = time.Now()
+}
+
 // expireEntries removes the entries of all servers for a second, as an outage of the
 // store does.
 func (s *Soak) expireEntries() {
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -61,6 +61,9 @@
 	load     int         // requests in progress, and flows expected to send one
 	state    ServerState // as balancers report it
 	revision uint64      // of the entry that state was read from
+	// restoreSeenAt is when a message first took back a drain in a later era of the
+	// platform's store, 0 if none does.
+	restoreSeenAt clock.Millis
 
 	coldUntil clock.Millis // end of the limit on new flows
 	coldRate  int          // new flows a second while cold, 0 for no limit
@@ -140,7 +143,7 @@
 // updateServer takes the state of the agent's server from a balancer's message, unless
 // it was read from an older entry than the present one.
 func (a *Agent) updateServer(now clock.Millis, m *Message) {
-	if m.Revision < a.revision || m.Revision == 0 {
+	if m.Revision < a.revision || m.Revision == 0 || a.drainHeld(now, m) {
 		return
 	}
 	a.state, a.revision = m.State, m.Revision
@@ -153,6 +156,20 @@
 	}
 }
 
+// drainHeld reports whether a message takes back the drain of the server because the
+// platform's store was restored from an older copy, so that a balancer which started
+// since does not know of the drain. The server writes it again within restoreHoldTime.
+func (a *Agent) drainHeld(now clock.Millis, m *Message) bool {
+	if a.state != Leaving || m.State != Serving || eraOf(m.Revision) <= eraOf(a.revision) {
+		a.restoreSeenAt = 0
+		return false
+	}
+	if a.restoreSeenAt == 0 {
+		a.restoreSeenAt = now
+	}
+	return now-a.restoreSeenAt < restoreHoldTime
+}
+
 // deny turns m into the message that goes back with a denied packet.
 func (a *Agent) deny(to netip.AddrPort, m *Message, reason Reason) Outcome {
 	a.counts.Denied++
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -31,7 +31,7 @@
 	State           ServerState
 	ColdUntil       clock.Millis // end of its limit on new flows, 0 if it is warm
 	StartMs         int64        // start of this run, Unix milliseconds
-	Revision        uint64       // of its entry
+	Revision        uint64       // of its entry, by RevisionOf
 	CreatedRevision uint64       // revision at which its name was first listed
 
 	firstSeen     clock.Millis // receipt of the first entry, of any run, with this agent and service
@@ -83,7 +83,7 @@
 	Config         *Config
 	DataCentreName string // data centre whose state changed
 	OutOfService   bool   // whether that data centre is now out of service
-	Revision       uint64 // at which it was taken out of service
+	Revision       uint64 // at which it was taken out of service, by RevisionOf
 }
 
 // Times that the registry waits.
@@ -118,7 +118,11 @@
 	platformLost bool         // the platform does not answer
 	platformBack clock.Millis // end of the platform's last outage
 	hasListing   bool         // a whole listing has been received
-	view         *View        // cached, nil if it must be rebuilt
+	// restoreHeldUntil is the end of the time in which a restored store may lack what
+	// was written before, 0 if it was never restored.
+	restoreHeldUntil clock.Millis
+	held             []Change // of a restored store, applied then unless replaced
+	view             *View    // cached, nil if it must be rebuilt
 }
 
 // evacuation is the state of a data centre that has been taken out of service.
@@ -156,6 +160,11 @@
 func (r *Registry) ApplyListing(now clock.Millis, listing []Change) []Event {
 	var events []Event
 	listed, takenOut := make(map[string]bool), make(map[string]bool)
+	restoring := r.restoring(now)
+	applied := listing
+	if restoring {
+		applied = r.hold(listing)
+	}
 	for _, c := range listing {
 		if c.Server != nil {
 			listed[c.Server.Name] = true
@@ -168,11 +177,16 @@
 		}
 	}
 	for name := range r.evacuated {
-		if !takenOut[name] {
-			events = append(events, r.setDataCentre(now, Change{DataCentreName: name})...)
+		back := Change{DataCentreName: name}
+		switch {
+		case takenOut[name]:
+		case restoring:
+			r.held = append(r.held, back)
+		default:
+			events = append(events, r.setDataCentre(now, back)...)
 		}
 	}
-	events = append(events, r.Apply(now, listing)...)
+	events = append(events, r.Apply(now, applied)...)
 	r.hasListing = true
 	return events
 }
@@ -185,6 +199,7 @@
 	}
 	var events []Event
 	for _, c := range changes {
+		r.discardHeld(c)
 		switch {
 		case c.Server != nil:
 			events = append(events, r.setServer(now, *c.Server)...)
@@ -212,6 +227,9 @@
 	if earlier := r.earliestRun(s); earlier != nil {
 		s.firstSeen, s.initial = earlier.firstSeen, earlier.initial
 	}
+	if old != nil && old.StartMs == s.StartMs {
+		s.CreatedRevision = old.CreatedRevision // a restored store gives out others
+	}
 	r.servers[s.Name] = &s
 	if old != nil && old.equivalent(s) {
 		return nil
@@ -339,9 +357,9 @@
 
 // Fresh reports whether the view is recent enough to conclude that no server holds a
 // flow: it is younger than settleTime, so a server that it lacks has not yet received
-// flows from any balancer.
+// flows from any balancer. A store that was just restored may lack others.
 func (r *Registry) Fresh(now clock.Millis) bool {
-	return r.hasListing && now-r.dataAsOf < settleTime
+	return r.hasListing && now-r.dataAsOf < settleTime && !r.restoring(now)
 }
 
 // deleteExpired deletes servers that have been unlisted for the longest life of a flow.
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -136,12 +136,13 @@
 }
 
 // holdsNoFlows reports whether the server of an agent was first listed after its data
-// centre had been taken out of service, so that no flow can have opened there.
+// centre had been taken out of service, so that no flow can have opened there. Only
+// revisions of one era tell which came first.
 func (v *View) holdsNoFlows(id place.ID) bool {
 	s := v.serverByAgent[id]
 	if s == nil {
 		return false
 	}
 	e, evacuated := v.evacuated[s.DataCentre]
-	return evacuated && e.revision != 0 && s.CreatedRevision > e.revision
+	return evacuated && e.revision != 0 && eraOf(s.CreatedRevision) == eraOf(e.revision) && s.CreatedRevision > e.revision
 }
