Ask the remaining agents all at once, and none that has not started

Cause, from traces with every decision logged: after a loss of power nobody holds the callers' flows, and a search asks one agent after the other.

Change: after three agents a search offers its packet to all others at once and awaits their answers; what is overdue after 150 ms proves nothing. Agents that are listed for the first time count as silent until they reply to a ping, sent at once and each 40 ms; packets that only such agents could take are parked for 300 ms at most. A denial marked LastOffer begins no search, so that a late one is harmless; old agents return the mark as it is.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -27,6 +27,9 @@
 // SYN.
 const maxStartupWait = 500 * time.Millisecond
 
+// startInterval is the time between two runs of the timers while agents start.
+const startInterval = 40 * time.Millisecond
+
 // Balancer is the process on an entry host that receives packets from callers and
 // forwards them to agents. Set the exported fields before Run.
 type Balancer struct {
@@ -42,6 +45,7 @@
 	pauses            pauseDetector
 	shuttingDown      bool
 	viewChangedAt     clock.Millis
+	startTimer        *time.Timer   // runs the timers early while agents start
 	relistRequests    chan struct{} // requests a listing of the store, after a suspension
 	refreshRequests   chan struct{} // requests an immediate answer of the store
 	firstListing      chan struct{} // closed after the first listing
@@ -80,6 +84,7 @@
 	b.core.Registry.FlowLife = flowLife(b.Settings.Path)
 	b.core.EvacuationGracePeriod = clock.Millis(b.Settings.EvacuateMs)
 	b.limitedLog = newLimitedLog(b.Log)
+	b.startTimer = time.NewTimer(tickInterval)
 	b.relistRequests, b.refreshRequests, b.firstListing = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	set := metrics.NewSet()
 	registerDroppedLines(set, b.DroppedLines)
@@ -113,7 +118,7 @@
 		b.readCallers()
 	}()
 	go b.readAgents()
-	go runEvery(background, tickInterval, nil, &b.mu, b.tick)
+	go runEvery(background, tickInterval, b.startTimer.C, &b.mu, b.tick)
 	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store)
 	<-ctx.Done()
 	b.mu.Lock()
@@ -194,6 +199,8 @@
 			b.handleDenial(now, agent, &m, raw, len(rest))
 		case b.core.HandleMessage(now, agent, &m):
 			b.Log.Info("agent regained", "agent", from.Addr())
+		case m.Kind == steer.Pong:
+			b.resumeParked(now)
 		}
 	})
 }
@@ -244,17 +251,23 @@
 	c.Inc()
 }
 
-// execute carries out a decision. The packet is at the end of raw; the message m is
-// written right in front of it.
+// execute carries out a decision. The packet is at the end of raw, with space for the
+// message m in front of it.
 func (b *Balancer) execute(d steer.Decision, p steer.Packet, m *steer.Message, raw []byte) {
 	switch d.Verdict {
 	case steer.Offer:
-		start := len(raw) - platform.HeaderBytes - p.Bytes - m.Size()
-		m.Encode(raw[start:])
-		b.limitedLog.sendOrLog(b.Clock.Now(), b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(d.To), b.packetPort))
+		now := b.Clock.Now()
+		b.sendOffer(now, d.To, p, m, raw)
+		for d, more := b.core.NextOffer(now, p, m); more; d, more = b.core.NextOffer(now, p, m) {
+			if d.Verdict == steer.Offer {
+				b.sendOffer(now, d.To, p, m, raw)
+			}
+		}
 	case steer.Wait:
 		b.core.KeepRaw(raw[len(raw)-platform.HeaderBytes-p.Bytes:])
-		b.requestRefresh()
+		if d.Reason == steer.StaleView {
+			b.requestRefresh()
+		}
 	case steer.Refuse:
 		if p.RST {
 			return
@@ -265,6 +278,14 @@
 	}
 }
 
+// sendOffer sends the packet at the end of raw to an agent, with the message m right in
+// front of it.
+func (b *Balancer) sendOffer(now clock.Millis, to place.ID, p steer.Packet, m *steer.Message, raw []byte) {
+	start := len(raw) - platform.HeaderBytes - p.Bytes - m.Size()
+	m.Encode(raw[start:])
+	b.limitedLog.sendOrLog(now, b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(to), b.packetPort))
+}
+
 // countReset counts a reset against the service level of the decision's service. Flows
 // that no route matches belong to no service.
 func (b *Balancer) countReset(d steer.Decision) {
@@ -299,6 +320,9 @@
 	for _, s := range b.core.Tick(now, b.sendPing) {
 		b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 	}
+	if b.core.Starting() {
+		b.startTimer.Reset(startInterval)
+	}
 	b.logEvents(now, b.core.Registry.ApplyHeld(now), 0)
 	b.resumeParked(now)
 }
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -91,7 +91,7 @@
 	b.recordEra(now, store.Era())
 	b.logEvents(now, b.core.Registry.ApplyListing(now, changes), revision)
 	b.core.RecordRefresh()
-	b.resumeParked(now)
+	b.tick() // so that new agents are pinged at once
 	b.closeFirstListing.Do(func() { close(b.firstListing) })
 	b.Log.Info("store listed", "revision", revision, "items", len(changes), "took", time.Since(began).Round(time.Millisecond))
 	return revision, nil
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -31,7 +31,8 @@
 
 // Balancer decides which agent receives each packet. Its state may be lost at any
 // moment. Set the exported fields before the first call. Pass packets to FromCaller and
-// Denied, messages without a packet to HandleMessage, and call Tick and Resume regularly.
+// Denied, each followed by NextOffer, messages without a packet to HandleMessage, and
+// call Tick and Resume regularly.
 // A Balancer is not safe for concurrent use.
 type Balancer struct {
 	CacheFlows int // number of flows whose owners are cached; 0 means DefaultCacheFlows
@@ -47,6 +48,12 @@
 	needsRefresh bool // the process was suspended, and its view may be outdated
 	cutOff       bool // most listed agents were silent at the last Tick
 	parked       []parkedPacket
+	resumedSince clock.Millis // when the packet that is being resumed was parked, 0 if none is
+	// startedAgents is the number of agents that have replied for the first time, or
+	// failed to within startTime.
+	startedAgents int
+	fanOuts       map[flow.Key]*fanOut // searches that await the answers of several agents
+	nextOffers    []place.ID           // agents that NextOffer returns
 
 	backlogUntil clock.Millis // until then, SYNs may have been received before a pause
 }
@@ -60,6 +67,7 @@
 	}
 	b.owners = flow.NewCache(b.CacheFlows)
 	b.agentStates = make(map[place.ID]*agentState)
+	b.fanOuts = make(map[flow.Key]*fanOut)
 }
 
 // Ready reports whether the routers should send packets to the balancer: it can assign
@@ -86,6 +94,7 @@
 // message that is sent in front of the packet.
 func (b *Balancer) FromCaller(now clock.Millis, p Packet, m *Message) Decision {
 	b.init()
+	b.nextOffers = b.nextOffers[:0]
 	view := b.Registry.View(now)
 	if view == nil {
 		return Decision{Verdict: Drop, Reason: NoView}
@@ -100,7 +109,7 @@
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) {
 		switch {
 		case !p.SYN && b.isSilent(owner) && b.Registry.returnUndecided(now, view.serverByAgent[owner]):
-			return b.park(now, p, m, true)
+			return b.park(now, p, m, awaitAnswer)
 		case !p.SYN && b.unreachable(now, owner) && b.mayAbandon(route):
 			return Decision{Verdict: Refuse, Reason: Unreachable, Service: route.service()}
 		}
@@ -116,6 +125,7 @@
 // agent returned with it.
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
 	b.init()
+	b.nextOffers = b.nextOffers[:0]
 	b.recordAnswer(from)
 	view := b.Registry.View(now)
 	if view == nil {
@@ -135,7 +145,12 @@
 		m.addVisited(from)
 		return b.open(now, view, route, hash, p, m)
 	}
-	if recorded := m.addVisited(from); !recorded || !m.Reason.Certain() {
+	switch {
+	case m.LastOffer:
+		if !b.deniedInFanOut(from, p, m) {
+			return Decision{Verdict: Drop, Reason: Searching}
+		}
+	case !m.addVisited(from) || !m.Reason.Certain():
 		m.Inconclusive = true
 	}
 	return b.search(now, view, route, hash, p, m)
@@ -169,6 +184,9 @@
 	var ranked [MaxVisited]place.ID
 	count := pool.accepting.Rank(hash, ranked[:])
 	if next := b.nextCandidate(now, view, ranked[:count], p.Copy, m); next != 0 {
+		if b.isStarting(next) {
+			return b.park(now, p, m, awaitAgents)
+		}
 		m.Reason = NewFlow
 		return b.offer(now, view, p, m, next, service)
 	}
@@ -225,97 +243,6 @@
 	return fallback
 }
 
-// search offers a packet of an open flow to the next agent whose server may hold the
-// flow. Once all have denied it with a Certain reason, no server holds the flow and
-// the caller is sent a reset.
-func (b *Balancer) search(now clock.Millis, view *View, route *Route, hash uint64, p Packet, m *Message) Decision {
-	m.Reason = Searching
-	if m.VisitedCount == MaxVisited {
-		return Decision{Verdict: Drop, Reason: TooManyServers}
-	}
-	h := b.findHolder(now, view, route, hash, m)
-	if h.next != 0 {
-		m.KnownOnly = m.KnownOnly || h.skippedEarlier || h.anyUnreachable && m.VisitedCount >= maxUncertainOffers
-		return b.offer(now, view, p, m, h.next, h.service)
-	}
-	if h.needsUpdate {
-		return b.park(now, p, m, true)
-	}
-	if h.silent != 0 {
-		return b.offer(now, view, p, m, h.silent, h.silentService)
-	}
-	switch {
-	case p.RST || p.FIN && p.Bytes == 0 && m.VisitedCount == 0:
-		return Decision{Verdict: Drop, Reason: AllDenied}
-	case m.Inconclusive || h.anyEvacuated:
-		return Decision{Verdict: Drop, Reason: OutOfService}
-	case !b.viewConclusive(now):
-		return b.park(now, p, m, false)
-	}
-	reason := AllDenied
-	if h.anyAbandoned {
-		reason = Unreachable
-	}
-	return Decision{Verdict: Refuse, Reason: reason, Service: route.service()}
-}
-
-// holderSearch is the result of a pass over the agents whose servers may hold a flow.
-type holderSearch struct {
-	next           place.ID // agent to offer the packet to, 0 if none remains
-	silent         place.ID // first silent agent, 0 if none
-	service        string   // of next
-	silentService  string   // of silent
-	skippedEarlier bool     // an unreachable agent precedes next in the flow's order
-	anyUnreachable bool     // some agents are silent or their data centre is evacuated
-	anyAbandoned   bool     // the flow may be reset although some agents are unreachable
-	anyEvacuated   bool     // some agents are in an evacuated data centre
-	needsUpdate    bool     // newer data of the platform may show that a silent agent is gone
-}
-
-// findHolder looks for the next agent to ask in the flow's order.
-func (b *Balancer) findHolder(now clock.Millis, view *View, route *Route, hash uint64, m *Message) holderSearch {
-	var h holderSearch
-	abandon := b.mayAbandon(route)
-	for _, target := range route.Targets {
-		pool := view.services[target.Service]
-		if pool == nil {
-			continue
-		}
-		var ranked [MaxVisited]place.ID
-		for _, id := range ranked[:pool.holders.Rank(hash, ranked[:])] {
-			b.considerHolder(now, view, id, target.Service, abandon, m, &h)
-		}
-		if h.next == 0 { // a ranking does not hold all agents of a large service
-			for _, id := range pool.holders.IDs() {
-				b.considerHolder(now, view, id, target.Service, abandon, m, &h)
-			}
-		}
-	}
-	return h
-}
-
-// considerHolder adds one agent to the result of a search. With abandon, unreachable
-// agents are passed over.
-func (b *Balancer) considerHolder(now clock.Millis, view *View, id place.ID, service string, abandon bool, m *Message, h *holderSearch) {
-	switch {
-	case m.visited(id), view.holdsNoFlows(id), b.departed(now, view, id):
-	case b.evacuationEnded(now, view, id):
-		h.anyEvacuated, h.anyUnreachable = true, true
-	case b.isSilent(id):
-		if abandon && b.unreachable(now, id) {
-			h.anyAbandoned = true
-			return
-		}
-		h.anyUnreachable = true
-		h.needsUpdate = h.needsUpdate || b.Registry.returnUndecided(now, view.serverByAgent[id])
-		if h.silent == 0 {
-			h.silent, h.silentService = id, service
-		}
-	case h.next == 0:
-		h.next, h.service, h.skippedEarlier = id, service, h.anyUnreachable
-	}
-}
-
 // evacuationEnded reports whether an agent's data centre was taken out of service so
 // long ago that the agent receives no more packets.
 func (b *Balancer) evacuationEnded(now clock.Millis, view *View, id place.ID) bool {
@@ -365,6 +292,7 @@
 	switch m.Kind {
 	case HoldFlow:
 		b.owners.Put(now, m.Key.Hash(), from)
+		delete(b.fanOuts, m.Key)
 	case Shutdown:
 		b.recordShutdown(now, from, m.Reason)
 		return false
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -7,22 +7,34 @@
 )
 
 const (
-	// maxParked bounds the packets that wait for a fresh view. More are dropped;
-	// their callers retransmit them.
-	maxParked = 128
-	// maxParkTime is how long a packet waits for a fresh view: the platform answers
-	// within milliseconds, and callers retransmit after some hundreds of them.
+	// maxParked bounds the packets that are parked. More are dropped; their callers
+	// retransmit them.
+	maxParked = 256
+	// maxParkTime is how long a packet is parked: the platform and agents answer within
+	// milliseconds, and callers retransmit after some hundreds of them.
 	maxParkTime = 300 * clock.Millis(1)
 )
 
-// parkedPacket is a packet of a flow that no listed server holds, kept while the view
-// is too old to conclude that no server at all holds it.
+// parkReason says what a parked packet waits for.
+type parkReason uint8
+
+const (
+	// A view that is recent enough to conclude that no server holds the flow.
+	awaitFreshView parkReason = iota
+	// An answer of the platform to a request sent after the packet was parked.
+	awaitAnswer
+	// The first reply of an agent that was just listed.
+	awaitAgents
+)
+
+// parkedPacket is a packet that cannot be decided on yet.
 type parkedPacket struct {
-	packet     Packet
-	message    Message
-	raw        []byte
-	since      clock.Millis
-	needsNewer bool // needs an answer of the platform to a request sent after since
+	packet        Packet
+	message       Message
+	raw           []byte
+	since         clock.Millis
+	reason        parkReason
+	startedAgents int // Balancer.startedAgents when it was parked
 }
 
 // Resumed is a parked packet and the decision on it.
@@ -40,15 +52,34 @@
 	return b.Registry.Fresh(now) && !b.needsRefresh
 }
 
-// park keeps a packet until the view is fresh. A later packet of the same flow, such as
-// a retransmission, replaces an earlier one.
-func (b *Balancer) park(now clock.Millis, p Packet, m *Message, needsNewer bool) Decision {
+// park keeps a packet until what it waits for has come. A later packet of the same flow,
+// such as a retransmission, replaces an earlier one.
+func (b *Balancer) park(now clock.Millis, p Packet, m *Message, reason parkReason) Decision {
 	b.parked = slices.DeleteFunc(b.parked, func(w parkedPacket) bool { return w.packet.Key == p.Key })
+	why := StaleView
+	if reason == awaitAgents {
+		why = AgentsStarting
+	}
 	if len(b.parked) >= maxParked {
-		return Decision{Verdict: Drop, Reason: StaleView}
+		return Decision{Verdict: Drop, Reason: why}
 	}
-	b.parked = append(b.parked, parkedPacket{packet: p, message: *m, since: now, needsNewer: needsNewer})
-	return Decision{Verdict: Wait, Reason: StaleView}
+	since := now
+	if b.resumedSince != 0 {
+		since = b.resumedSince
+	}
+	b.parked = append(b.parked, parkedPacket{packet: p, message: *m, since: since, reason: reason, startedAgents: b.startedAgents})
+	return Decision{Verdict: Wait, Reason: why}
+}
+
+// mayResume reports whether what a parked packet waits for has come.
+func (b *Balancer) mayResume(now clock.Millis, p parkedPacket) bool {
+	switch p.reason {
+	case awaitAgents:
+		return b.startedAgents != p.startedAgents
+	case awaitAnswer:
+		return b.viewConclusive(now) && b.Registry.dataAsOf >= p.since
+	}
+	return b.viewConclusive(now)
 }
 
 // KeepRaw stores a copy of the bytes of the packet that was parked last.
@@ -58,30 +89,36 @@
 	}
 }
 
-// Resume removes and returns the next parked packet that can be decided on, because
-// the view is fresh or the packet has waited for maxParkTime. It returns false if there
-// is none. Call it until then.
+// Resume removes and returns the next parked packet that can be decided on, because what
+// it waits for has come or it has waited for maxParkTime. It returns false if there is
+// none. Call it until then. If the decision is to Wait, the packet is parked again.
 func (b *Balancer) Resume(now clock.Millis) (Resumed, bool) {
 	for i, p := range b.parked {
-		ready := b.viewConclusive(now) && (!p.needsNewer || b.Registry.dataAsOf >= p.since)
+		ready := b.mayResume(now, p)
 		if !ready && now-p.since < maxParkTime {
 			continue
 		}
 		b.parked = slices.Delete(b.parked, i, i+1)
 		r := Resumed{Decision: Decision{Verdict: Drop, Reason: StaleView}, Packet: p.packet, Message: &p.message, Raw: p.raw, Waited: now - p.since}
 		if view := b.Registry.View(now); ready && view != nil {
+			b.resumedSince = p.since
 			r.Decision = b.resume(now, view, p.packet, r.Message)
+			b.resumedSince = 0
 		}
 		return r, true
 	}
 	return Resumed{}, false
 }
 
-// resume continues the search for the holder of a parked packet's flow.
+// resume decides on a parked packet.
 func (b *Balancer) resume(now clock.Millis, view *View, p Packet, m *Message) Decision {
 	route := view.routes[p.Key.Target()]
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
+	b.nextOffers = b.nextOffers[:0]
+	if p.SYN && !p.HasACK {
+		return b.open(now, view, route, p.Key.Hash(), p, m)
+	}
 	return b.search(now, view, route, p.Key.Hash(), p, m)
 }
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -20,6 +20,12 @@
 	unreachableTimeout = clock.Second
 	// pingInterval is the time between two pings to a silent agent.
 	pingInterval = 200 * clock.Millis(1)
+	// startTime is how long an agent that was just listed may take to reply to its first
+	// ping. After a loss of power, hosts start within a few hundred milliseconds of each
+	// other.
+	startTime = 400 * clock.Millis(1)
+	// startPingInterval is the time between two pings to an agent in its startTime.
+	startPingInterval = 40 * clock.Millis(1)
 )
 
 // agentState is the reachability of one agent.
@@ -28,6 +34,9 @@
 	lastPing        clock.Millis
 	silent          bool // has not replied in time, or announced its shutdown
 	shutDown        bool // announced its shutdown, and has not replied since
+	// starting is set for a silent agent that was listed less than startTime ago and has
+	// not yet replied.
+	starting bool
 	// endedRevision is the revision of the server's entry when the agent reported
 	// that the server has ended, 0 if it has not.
 	endedRevision uint64
@@ -45,6 +54,12 @@
 	return state != nil && state.silent
 }
 
+// isStarting reports whether an agent was just listed and has not yet replied.
+func (b *Balancer) isStarting(id place.ID) bool {
+	state := b.agentStates[id]
+	return state != nil && state.starting
+}
+
 // unreachable reports whether an agent has been silent for unreachableTimeout although
 // it announced no shutdown.
 func (b *Balancer) unreachable(now clock.Millis, id place.ID) bool {
@@ -52,8 +67,8 @@
 	return state != nil && state.silent && !state.shutDown && now-state.unansweredSince >= unreachableTimeout
 }
 
-// mostSilent reports whether most of the listed agents are silent. This balancer's host
-// is then more likely to be cut off than theirs.
+// mostSilent reports whether most of the listed agents are silent, apart from those that
+// are starting. This balancer's host is then more likely to be cut off than theirs.
 func (b *Balancer) mostSilent(view *View) bool {
 	listed, silent := 0, 0
 	for id, s := range view.serverByAgent {
@@ -61,7 +76,7 @@
 			continue
 		}
 		listed++
-		if b.isSilent(id) {
+		if b.isSilent(id) && !b.isStarting(id) {
 			silent++
 		}
 	}
@@ -111,8 +126,11 @@
 	if state == nil {
 		return false
 	}
-	wasSilent := state.silent
-	state.unansweredSince, state.silent, state.shutDown, state.endedRevision = 0, false, false, 0
+	wasSilent := state.silent && !state.starting
+	if state.starting {
+		b.startedAgents++
+	}
+	*state = agentState{lastPing: state.lastPing}
 	return wasSilent
 }
 
@@ -121,24 +139,61 @@
 func (b *Balancer) recordShutdown(now clock.Millis, from place.ID, reason Reason) {
 	b.expectAnswer(now, from)
 	state := b.agentStates[from]
-	state.silent, state.shutDown, state.unansweredSince = true, true, now
+	state.silent, state.starting, state.shutDown, state.unansweredSince = true, false, true, now
 	if view := b.Registry.View(now); reason == ServerGone && view != nil && view.serverByAgent[from] != nil {
 		state.endedRevision = view.serverByAgent[from].Revision
 	}
 }
 
+// Starting reports whether agents were just listed and have not yet replied. Call Tick
+// every startPingInterval meanwhile.
+func (b *Balancer) Starting() bool {
+	for id := range b.agentStates {
+		if b.isStarting(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// addStarting adds the agents that were listed since the last call. They count as silent
+// until they reply, so that no packet is lost at a host that has not yet started.
+func (b *Balancer) addStarting(now clock.Millis, view *View) {
+	for id, s := range view.serverByAgent {
+		if b.agentStates[id] == nil && s.State != Unlisted {
+			b.agentStates[id] = &agentState{silent: true, starting: true, unansweredSince: now, lastPing: now - startPingInterval}
+		}
+	}
+}
+
 // Tick returns the agents that have become silent since the last call, and calls ping
 // for those that are due a ping. Call it several times a second.
 func (b *Balancer) Tick(now clock.Millis, ping func(place.ID)) []SilentAgent {
 	b.init()
 	var newlySilent []SilentAgent
 	view := b.Registry.View(now)
+	b.expireFanOuts(now)
 	b.cutOff = view != nil && b.mostSilent(view)
+	if view != nil {
+		b.addStarting(now, view)
+	}
 	for id, state := range b.agentStates {
 		if view != nil && view.serverByAgent[id] == nil {
 			delete(b.agentStates, id)
 			continue
 		}
+		if state.starting && now-state.unansweredSince < startTime {
+			if now-state.lastPing >= startPingInterval {
+				state.lastPing = now
+				ping(id)
+			}
+			continue
+		}
+		if state.starting {
+			state.starting = false
+			b.startedAgents++
+			newlySilent = append(newlySilent, SilentAgent{Agent: id, Since: state.unansweredSince})
+		}
 		if state.unansweredSince == 0 || now-state.unansweredSince < agentAnswerTimeout {
 			continue
 		}
--- a/pkg/steer/reason_string.go
+++ b/pkg/steer/reason_string.go
@@ -34,11 +34,12 @@
 	_ = x[Queued-23]
 	_ = x[AckMismatch-24]
 	_ = x[Unreachable-25]
+	_ = x[AgentsStarting-26]
 }
 
-const _Reason_name = "NoneNewFlowKnownOwnerSearchingNoRouteNoViewNoServerNotHeldNotKnownWrongServiceServerGoneServerSilentServerFullBusyOverloadedColdDrainingEveryoneDeniedOutOfServiceStaleViewWokenMalformedTooManyQueuedMisplacedUnreachable"
+const _Reason_name = "NoneNewFlowKnownOwnerSearchingNoRouteNoViewNoServerNotHeldNotKnownWrongServiceServerGoneServerSilentServerFullBusyOverloadedColdDrainingEveryoneDeniedOutOfServiceStaleViewWokenMalformedTooManyQueuedMisplacedUnreachableAgentsStarting"
 
-var _Reason_index = [...]uint8{0, 4, 11, 21, 30, 37, 43, 51, 58, 66, 78, 88, 100, 110, 114, 124, 128, 136, 150, 162, 171, 176, 185, 192, 198, 207, 218}
+var _Reason_index = [...]uint8{0, 4, 11, 21, 30, 37, 43, 51, 58, 66, 78, 88, 100, 110, 114, 124, 128, 136, 150, 162, 171, 176, 185, 192, 198, 207, 218, 232}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -100,6 +100,8 @@
 	AckMismatch // Misplaced
 	// The agent that may hold the flow has been silent for too long.
 	Unreachable // Unreachable
+	// The agents that could take the packet were just listed and have not yet replied.
+	AgentsStarting // AgentsStarting
 )
 
 // Certain reports whether a denial with this reason proves that the server does not
