Count the age of a SYN's copy against its response-time goal

Cause: the queue of an agent serves first what can still be in time, but counted from the arrival at the agent. The copies that callers send 200 and 600 ms after their original passed for new requests, which then waited for them.

--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -88,9 +88,10 @@
 	return p.enqueuedAt >= other.enqueuedAt
 }
 
-// missesGoal reports whether an answer would miss the response-time goal.
+// missesGoal reports whether an answer would miss the response-time goal, which counts
+// from the original SYN.
 func (p queuedPacket) missesGoal(now, work clock.Millis) bool {
-	return p.message.Goal > 0 && now-p.enqueuedAt+work > p.message.Goal
+	return p.message.Goal > 0 && p.packet.Age+now-p.enqueuedAt+work > p.message.Goal
 }
 
 func (q *queue) take(i int) queuedPacket {
--- a/pkg/steer/queue_test.go
+++ b/pkg/steer/queue_test.go
@@ -33,8 +33,12 @@
 }
 
 // arrive offers the SYN of a new flow to the agent.
-func (s *agentSim) arrive(port, priority int) {
-	p := steer.Packet{Key: key(port), SYN: true}
+func (s *agentSim) arrive(port, priority int) { s.arriveLate(port, priority, 0) }
+
+// arriveLate offers the SYN of a new flow to the agent. Its caller sent the original
+// some time ago.
+func (s *agentSim) arriveLate(port, priority int, age clock.Millis) {
+	p := steer.Packet{Key: key(port), SYN: true, Age: age}
 	m := steer.Message{Kind: steer.OfferPacket, Service: steer.ServiceOf("desk"), Revision: 1, Slots: 2, Goal: 100, Priority: priority, LastOffer: true}
 	s.arrived[p.Key] = s.now
 	s.handle(s.agent.FromBalancer(s.now, s.from, &m, p), p)
@@ -119,6 +123,34 @@
 	}
 }
 
+// After an outage callers repeat SYNs whose answers can only be late, beside new requests
+// that need six tenths of the server. If copies passed for new ones, new requests would
+// be late for them.
+func TestCopiesOfSYNsGiveWayToNewRequests(t *testing.T) {
+	s := newAgentSim()
+	newRequests, inTime, served := 0, 0, 0
+	for ms := range 3000 {
+		if ms < 1000 && ms%20 == 0 {
+			s.arrive(3000+ms, 0)
+			newRequests++
+		}
+		if ms < 1000 && ms%20 == 10 {
+			s.arriveLate(5000+ms, 0, 600)
+		}
+		s.step()
+	}
+	for ms := range 1000 {
+		if took, ok := s.answerTime[key(3000+ms)]; ok && took <= 100 {
+			inTime++
+		}
+		if _, ok := s.answerTime[key(5000+ms)]; ok {
+			served++
+		}
+	}
+	assert.Assert(t, inTime*100 >= newRequests*95, "%d of %d new requests in time", inTime, newRequests)
+	assert.Assert(t, served >= 25, "%d of 50 copies served in what is left", served)
+}
+
 func TestUrgentRequestsGoFirst(t *testing.T) {
 	s := newAgentSim()
 	for port := 1000; port < 1010; port++ {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -18,6 +18,7 @@
 	"encoding/binary"
 	"net/netip"
 
+	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
 	"dogwoodlanding.example/dogwood/pkg/place"
 	"github.com/cespare/xxhash/v2"
@@ -30,13 +31,14 @@
 
 // Packet holds the header fields of a packet that the decisions depend on.
 type Packet struct {
-	Key      flow.Key // in the caller's direction, also for packets of the server
-	SYN      bool     // opens a flow, or with HasACK accepts it
-	HasACK   bool     // the ACK flag is set: Ack is valid
-	FIN      bool     // its sender has sent all its data
-	RST      bool     // its sender aborts the flow
-	Returned bool     // the server did not accept it
-	Copy     int      // of a SYN: 0 for the original, 1 and 2 for retransmissions
+	Key      flow.Key     // in the caller's direction, also for packets of the server
+	SYN      bool         // opens a flow, or with HasACK accepts it
+	HasACK   bool         // the ACK flag is set: Ack is valid
+	FIN      bool         // its sender has sent all its data
+	RST      bool         // its sender aborts the flow
+	Returned bool         // the server did not accept it
+	Copy     int          // of a SYN: 0 for the original, 1 and 2 for retransmissions
+	Age      clock.Millis // of a SYN: how long before it the caller sent the original
 	Seq      uint32
 	Ack      uint32
 	Bytes    int // length of the data
