Let the settings switch off parts of the packet path's decisions

Cause: an ablation needs each mechanism off, one by one.

Change: steer.Mechanism names 23 parts of the decisions of balancers and agents; Path.Disabled lists those that are off. Unknown names are an error of the settings, and the start logs what is off. A changed log level is now applied by a reload instead of passing unnoticed, and every other change that needs a start is reported, not only addresses.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -75,6 +75,9 @@
 	a.packetPort = a.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	a.core.Service = steer.ServiceOf(a.Settings.Service)
 	a.core.FlowLife = flowLife(a.Settings.Path)
+	if a.core.Disabled, err = disabledMechanisms(a.Log, a.Settings.Path); err != nil {
+		return err
+	}
 	a.limitedLog = newLimitedLog(a.Log)
 	a.queueTimer = time.NewTimer(queueInterval)
 	a.balancers = make(map[netip.AddrPort]bool)
@@ -142,8 +145,8 @@
 	return nil
 }
 
-// reload reads the settings file and applies the service, the only setting that can
-// change while the process runs.
+// reload reads the settings file and applies the service and the log level, the settings
+// that can change while the process runs.
 func (a *Agent) reload() error {
 	settings, err := setup.ReadPathAgent(a.SettingsFile)
 	if err != nil {
@@ -156,8 +159,9 @@
 		a.Settings.Service = settings.Service
 		a.Log.Warn("belief", "subject", "service of the server", "state", settings.Service)
 	}
-	if startupSettings(settings.Path) != startupSettings(a.Settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server {
-		a.Log.Warn("changed addresses take effect at the next start")
+	setLogLevel(a.Log, settings.Path.LogLevel)
+	if needsStart(a.Settings.Path, settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server {
+		a.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
 }
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -82,6 +82,10 @@
 	b.packetPort = b.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	b.core.CacheFlows = b.Settings.CacheFlows
 	b.core.Registry.FlowLife = flowLife(b.Settings.Path)
+	if b.core.Disabled, err = disabledMechanisms(b.Log, b.Settings.Path); err != nil {
+		return err
+	}
+	b.core.Registry.Disabled = b.core.Disabled
 	b.core.EvacuationGracePeriod = clock.Millis(b.Settings.EvacuateMs)
 	b.limitedLog = newLimitedLog(b.Log)
 	b.startTimer = time.NewTimer(tickInterval)
@@ -130,8 +134,8 @@
 	return nil
 }
 
-// reload reads the settings file and applies EvacuateMs, the only setting that can
-// change while the process runs.
+// reload reads the settings file and applies EvacuateMs and the log level, the settings
+// that can change while the process runs.
 func (b *Balancer) reload() error {
 	settings, err := setup.ReadPathBalancer(b.SettingsFile)
 	if err != nil {
@@ -140,8 +144,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.EvacuationGracePeriod = clock.Millis(settings.EvacuateMs)
-	if startupSettings(settings.Path) != startupSettings(b.Settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents {
-		b.Log.Warn("changed addresses take effect at the next start")
+	setLogLevel(b.Log, settings.Path.LogLevel)
+	if needsStart(b.Settings.Path, settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents {
+		b.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
 }
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"sync"
 	"time"
 
@@ -197,11 +198,31 @@
 // flowLife returns the longest life of a flow, 0 if the settings do not set it.
 func flowLife(p setup.Path) clock.Millis { return clock.Millis(p.FlowLifeS) * clock.Second }
 
-// startupSettings returns the settings whose changes are logged as taking effect at
-// the next start: all but the log level.
-func startupSettings(p setup.Path) setup.Path {
-	p.LogLevel = ""
-	return p
+// needsStart reports whether settings differ in more than the log level, so that the
+// change takes effect only at the next start.
+func needsStart(before, after setup.Path) bool {
+	after.LogLevel = before.LogLevel
+	return !reflect.DeepEqual(before, after)
+}
+
+// setLogLevel applies a level of the settings. The settings were checked, and an empty
+// level means info.
+func setLogLevel(logger *log.Logger, level string) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		parsed = log.InfoLevel
+	}
+	logger.SetLevel(parsed)
+}
+
+// disabledMechanisms returns the mechanisms that checked settings switch off, and logs
+// them.
+func disabledMechanisms(logger *log.Logger, p setup.Path) (steer.MechanismSet, error) {
+	set, err := steer.ParseMechanisms(p.Disabled)
+	if set != 0 {
+		logger.Warn("mechanisms disabled", "names", p.Disabled)
+	}
+	return set, err
 }
 
 // decisionText returns a verdict and its reason as one word for logs and metrics.
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -1,5 +1,7 @@
 package setup
 
+import "dogwoodlanding.example/dogwood/pkg/steer"
+
 // Path holds the settings that the balancers and agents of internal/path have in common.
 type Path struct {
 	Name       string // name of the host in logs
@@ -10,6 +12,8 @@
 	Metrics    string // address and TCP port of the metrics page; empty means none
 	LogLevel   string // debug, info, warn or error; empty means info
 	FlowLifeS  int    // maximum lifetime of a flow, seconds; 0 means 60
+	// Disabled names mechanisms of package steer that are switched off, for experiments.
+	Disabled []string
 }
 
 // PathBalancer is the settings file of a balancer of internal/path.
@@ -66,4 +70,7 @@
 	}
 	c.checkLogLevel("Path.LogLevel", p.LogLevel)
 	c.checkNotNegative("Path.FlowLifeS", p.FlowLifeS)
+	if _, err := steer.ParseMechanisms(p.Disabled); err != nil {
+		c.addError("Path.Disabled", "%v", err)
+	}
 }
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -51,6 +51,7 @@
 	Slots   int // requests that the server can run at once, 0 until a balancer reports it
 	// FlowLife is the longest life of a flow. 0 means DefaultFlowLife.
 	FlowLife clock.Millis
+	Disabled MechanismSet
 	// Answered, if set, is called for each answer with the time from the request to
 	// the answer's first byte and the response-time goal of the route, 0 if it has none.
 	Answered func(took, goal clock.Millis)
@@ -193,6 +194,9 @@
 		return a.deny(from, m, reason)
 	}
 	if a.queue.length() > 0 || !a.hasCapacity() {
+		if a.Disabled.Has(Queue) {
+			return a.deny(from, m, Overloaded)
+		}
 		return a.enqueue(now, from, m, p)
 	}
 	return a.open(now, from, m, p)
@@ -227,14 +231,14 @@
 		return Draining
 	case a.serverGone(now):
 		return ServerGone
-	case a.serverSilent(now):
+	case a.serverSilent(now) && !a.Disabled.Has(ProbeSilentServer):
 		if now-a.lastProbe < probeInterval {
 			return ServerSilent
 		}
 		a.lastProbe = now
 	case a.coldLimitReached(now):
 		return Cold
-	case a.Slots > 0 && a.load >= a.Slots && !m.LastOffer:
+	case a.Slots > 0 && a.load >= a.Slots && !m.LastOffer && !a.Disabled.Has(PassOn):
 		return Busy
 	}
 	return NoReason
@@ -283,7 +287,7 @@
 	case e.phase == returned: // final: only a SYN opens a flow
 		e.lastSeen = now
 		return a.deny(from, m, NotHeld)
-	case e.hasServerISN && p.HasACK && p.Ack-e.serverISN > ackWindow:
+	case e.hasServerISN && p.HasACK && p.Ack-e.serverISN > ackWindow && !a.Disabled.Has(CheckAck):
 		return a.deny(from, m, AckMismatch)
 	case e.phase == probing, m.VisitedCount > 0:
 		e.storeMessage(m)
@@ -354,7 +358,9 @@
 	}
 	if e.phase == opened && e.hasServerISN {
 		a.counts.Restarts++
-		a.coldUntil = max(a.coldUntil, now+assumedColdTime)
+		if !a.Disabled.Has(AssumeCold) {
+			a.coldUntil = max(a.coldUntil, now+assumedColdTime)
+		}
 	}
 	m.VisitedCount, m.LeastBusy, m.LeastBusyLoad, m.Inconclusive, m.LastOffer = 0, 0, 0, false, false
 	if e.message != nil {
@@ -379,7 +385,7 @@
 // SetService assigns the agent to another service and resets all state of the server. It
 // keeps FlowLife, the callbacks, the counters and the effect of BeginShutdown.
 func (a *Agent) SetService(service ServiceID) {
-	*a = Agent{Service: service, FlowLife: a.FlowLife, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
+	*a = Agent{Service: service, FlowLife: a.FlowLife, Disabled: a.Disabled, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
 }
 
 // RecordSuspension records that the process was suspended. It discards the queue, and
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -36,6 +36,7 @@
 // A Balancer is not safe for concurrent use.
 type Balancer struct {
 	CacheFlows int // number of flows whose owners are cached; 0 means DefaultCacheFlows
+	Disabled   MechanismSet
 	// EvacuationGracePeriod is how long servers still receive packets of their flows after
 	// their data centre was taken out of service. 0 means without limit.
 	EvacuationGracePeriod clock.Millis
@@ -74,7 +75,7 @@
 // new flows to servers and reaches most agents.
 func (b *Balancer) Ready(now clock.Millis) bool {
 	view := b.Registry.View(now)
-	return view != nil && view.Servers() > 0 && !b.needsRefresh && !b.cutOff
+	return view != nil && view.Servers() > 0 && !b.needsRefresh && (!b.cutOff || b.Disabled.Has(ReadyByReach))
 }
 
 // RecordSuspension records that the process did not run for so long that its view may be
@@ -106,7 +107,7 @@
 	m.Kind, m.Reason, m.LastOffer, m.Inconclusive, m.KnownOnly, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = OfferPacket, KnownOwner, false, false, false, 0, 0, 0
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
-	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) {
+	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) && !b.Disabled.Has(OwnerCache) {
 		switch {
 		case !p.SYN && b.isSilent(owner) && b.Registry.returnUndecided(now, view.serverByAgent[owner]):
 			return b.park(now, p, m, awaitAnswer)
@@ -163,7 +164,7 @@
 		return
 	}
 	load := 100 * m.Load / m.Slots
-	if m.LeastBusy == 0 || load < m.LeastBusyLoad {
+	if m.LeastBusy == 0 || load < m.LeastBusyLoad || b.Disabled.Has(QueueAtLeastBusy) {
 		m.LeastBusy, m.LeastBusyLoad = from, load
 	}
 }
@@ -223,7 +224,7 @@
 		return 0
 	}
 	skip := 0
-	if m.VisitedCount == 0 && len(ranked) > 1 {
+	if m.VisitedCount == 0 && len(ranked) > 1 && !b.Disabled.Has(RotateCopies) {
 		skip = retransmissions % len(ranked)
 	}
 	var fallback place.ID
@@ -231,7 +232,7 @@
 		id := ranked[(i+skip)%len(ranked)]
 		switch {
 		case m.visited(id), b.departed(now, view, id):
-		case !b.isSilent(id):
+		case !b.isSilent(id), b.Disabled.Has(SilentLast):
 			return id
 		case fallback == 0:
 			fallback = id
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -60,7 +60,7 @@
 	if reason == awaitAgents {
 		why = AgentsStarting
 	}
-	if len(b.parked) >= maxParked {
+	if len(b.parked) >= maxParked || b.Disabled.Has(Park) {
 		return Decision{Verdict: Drop, Reason: why}
 	}
 	since := now
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -27,7 +27,8 @@
 // equal priority the newest. After an outage, when all callers return at once, first
 // come, first served would make every answer late until the backlog is gone.
 type queue struct {
-	packets []queuedPacket
+	packets  []queuedPacket
+	disabled MechanismSet // as Agent.Disabled
 }
 
 // queuedPacket is a SYN in the queue.
@@ -59,7 +60,7 @@
 func (q *queue) nextIndex(now clock.Millis, work clock.Millis) int {
 	best := 0
 	for i := 1; i < len(q.packets); i++ {
-		if q.packets[i].before(q.packets[best], now, work) {
+		if q.before(q.packets[i], q.packets[best], now, work) {
 			best = i
 		}
 	}
@@ -70,7 +71,7 @@
 func (q *queue) lastIndex(now clock.Millis, work clock.Millis) int {
 	worst := 0
 	for i := 1; i < len(q.packets); i++ {
-		if !q.packets[i].before(q.packets[worst], now, work) {
+		if !q.before(q.packets[i], q.packets[worst], now, work) {
 			worst = i
 		}
 	}
@@ -78,20 +79,27 @@
 }
 
 // before reports whether p is served before other, which arrived earlier.
-func (p queuedPacket) before(other queuedPacket, now, work clock.Millis) bool {
-	if late := p.missesGoal(now, work); late != other.missesGoal(now, work) {
+func (q *queue) before(p, other queuedPacket, now, work clock.Millis) bool {
+	if late := q.missesGoal(p, now, work); late != q.missesGoal(other, now, work) && !q.disabled.Has(InTimeFirst) {
 		return !late
 	}
-	if p.message.Priority != other.message.Priority {
+	if p.message.Priority != other.message.Priority && !q.disabled.Has(UrgentFirst) {
 		return p.message.Priority < other.message.Priority
 	}
+	if q.disabled.Has(NewestFirst) {
+		return false
+	}
 	return p.enqueuedAt >= other.enqueuedAt
 }
 
 // missesGoal reports whether an answer would miss the response-time goal, which counts
 // from the original SYN.
-func (p queuedPacket) missesGoal(now, work clock.Millis) bool {
-	return p.message.Goal > 0 && p.packet.Age+now-p.enqueuedAt+work > p.message.Goal
+func (q *queue) missesGoal(p queuedPacket, now, work clock.Millis) bool {
+	age := now - p.enqueuedAt
+	if !q.disabled.Has(CopyAge) {
+		age += p.packet.Age
+	}
+	return p.message.Goal > 0 && age+work > p.message.Goal
 }
 
 func (q *queue) take(i int) queuedPacket {
@@ -102,11 +110,16 @@
 
 // hasCapacity reports whether the server may receive one more flow now.
 func (a *Agent) hasCapacity() bool {
-	return a.Slots == 0 || a.load < a.Slots+max(minExtraFlows, a.Slots/extraFlowsDivisor)
+	extra := max(minExtraFlows, a.Slots/extraFlowsDivisor)
+	if a.Disabled.Has(ExtraFlows) {
+		extra = 0
+	}
+	return a.Slots == 0 || a.load < a.Slots+extra
 }
 
 // enqueue holds a SYN until a slot is free.
 func (a *Agent) enqueue(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
+	a.queue.disabled = a.Disabled
 	a.queue.packets = append(a.queue.packets, queuedPacket{from: from, message: *m, packet: p, enqueuedAt: now})
 	return Outcome{Verdict: Wait, Reason: Queued, ReportTo: from}
 }
@@ -136,7 +149,7 @@
 			return a.denyOverloaded(now, i), true
 		}
 	}
-	if a.drainTime() > maxQueueWait {
+	if a.drainTime() > maxQueueWait && !a.Disabled.Has(CutQueue) {
 		return a.denyOverloaded(now, a.queue.lastIndex(now, clock.Millis(a.meanServiceTime))), true
 	}
 	if a.queue.length() == 0 || !a.hasCapacity() {
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -86,7 +86,9 @@
 // mayAbandon reports whether a flow whose holder is unreachable may be reset, so that
 // its caller need not wait for its own time limit: its requests may be repeated, and it
 // is not this balancer's host that is cut off.
-func (b *Balancer) mayAbandon(route *Route) bool { return route.Repeatable && !b.cutOff }
+func (b *Balancer) mayAbandon(route *Route) bool {
+	return route.Repeatable && !b.cutOff && !b.Disabled.Has(ResetUnreachable)
+}
 
 // departed reports whether an agent's server has ended, and its flows with it: its agent
 // has reported that, or does not answer and the entry has not returned in time, or the
@@ -174,7 +176,7 @@
 	view := b.Registry.View(now)
 	b.expireFanOuts(now)
 	b.cutOff = view != nil && b.mostSilent(view)
-	if view != nil {
+	if view != nil && !b.Disabled.Has(AwaitAgents) {
 		b.addStarting(now, view)
 	}
 	for id, state := range b.agentStates {
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -108,6 +108,7 @@
 	// FlowLife is the longest life of a flow, and so how long an unlisted server may
 	// still hold flows. 0 means DefaultFlowLife.
 	FlowLife clock.Millis
+	Disabled MechanismSet
 
 	config    *Config
 	servers   map[string]*Server    // by name
@@ -410,7 +411,7 @@
 // counts as Serving.
 func (r *Registry) returnPending(now clock.Millis, s *Server) (bool, clock.Millis) {
 	switch {
-	case s.returnExpired:
+	case s.returnExpired, r.Disabled.Has(AwaitEntry):
 		return false, never
 	case r.returnTimedOut(s):
 		s.returnExpired = true
@@ -441,5 +442,5 @@
 // settled reports whether a server has been listed for long enough to receive new
 // flows. Servers of the first listing count as settled.
 func (r *Registry) settled(now clock.Millis, s *Server) bool {
-	return s.initial || now-s.firstSeen >= settleTime
+	return s.initial || now-s.firstSeen >= settleTime || r.Disabled.Has(Settle)
 }
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -40,8 +40,9 @@
 	}
 	h := b.findHolder(now, view, route, hash, m)
 	if h.next != 0 {
-		m.KnownOnly = m.KnownOnly || h.skippedEarlier || h.anyUnreachable && m.VisitedCount >= maxUncertainOffers
-		if m.VisitedCount >= sequentialOffers && !m.KnownOnly && !h.anyUnreachable && len(b.fanOuts) < maxFanOuts {
+		uncertain := h.skippedEarlier || h.anyUnreachable && m.VisitedCount >= maxUncertainOffers
+		m.KnownOnly = m.KnownOnly || uncertain && !b.Disabled.Has(LimitSearch)
+		if m.VisitedCount >= sequentialOffers && !m.KnownOnly && !h.anyUnreachable && len(b.fanOuts) < maxFanOuts && !b.Disabled.Has(FanOut) {
 			if d, ok := b.startFanOut(now, view, route, p, m); ok {
 				return d
 			}
