Notice a restored store at the next connection; write no null settings

The connection to a restored store is always a new one, so each new connection but the first now asks for an answer at once.

The soak opened no flow at all: settings that Go programs write had null for Path.Disabled, which the check refuses. The field is left out if it is empty, and a test reads what it has written.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -115,7 +115,7 @@
 	if err := tasks.start(background); err != nil {
 		return err
 	}
-	store := newStore(b.Settings.Store, b.Clock, b.logInvalidEntry)
+	store := newStore(b.Settings.Store, b.Clock, b.logInvalidEntry, b.requestRefresh)
 	go b.watchStore(background, store)
 	go func() {
 		b.awaitFirstListing(background)
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -40,11 +40,14 @@
 	secondByte byte // of its addresses
 	store      *fakes.Store
 	storeAddr  string
-	servers    map[string]*fakes.Server
-	stop       map[string]context.CancelFunc
-	caller     *fakes.Caller
-	routedTo   atomic.Int32 // number of the balancer that the routers choose
-	logs       *logBuffer
+	// closeStoreConnections closes the connections to the store, as a store that starts
+	// again does.
+	closeStoreConnections func()
+	servers               map[string]*fakes.Server
+	stop                  map[string]context.CancelFunc
+	caller                *fakes.Caller
+	routedTo              atomic.Int32 // number of the balancer that the routers choose
+	logs                  *logBuffer
 }
 
 // logBuffer collects the log lines of all processes.
@@ -70,6 +73,7 @@
 func newFleet(t *testing.T, balancers, servers int) *fleet {
 	f := &fleet{t: t, secondByte: byte(100 + fleetCount.Add(1)), store: &fakes.Store{}, servers: map[string]*fakes.Server{}, stop: map[string]context.CancelFunc{}, logs: &logBuffer{}}
 	storeServer := httptest.NewServer(f.store.Handler())
+	f.closeStoreConnections = storeServer.CloseClientConnections
 	t.Cleanup(storeServer.CloseClientConnections)
 	f.storeAddr = strings.TrimPrefix(storeServer.URL, "http://")
 	f.configure(1)
@@ -322,8 +326,9 @@
 	f.store.Save()
 	f.publish(0, "draining")
 	f.configure(2)
-	f.eventually(func() bool { return f.logs.contains("state=Leaving") && f.logs.contains("version=2") }, "the balancer applies the changes")
+	f.eventually(func() bool { return f.logs.contains("state=Leaving") && f.logs.contains("version=2 ") }, "the balancer applies the changes")
 	f.store.Restore()
+	f.closeStoreConnections()
 	f.configure(1)
 	f.eventually(func() bool { return f.logs.contains("store restored from an older copy") }, "the balancer lists the store again")
 	for range 10 {
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
@@ -40,11 +41,20 @@
 	connectTimeout = time.Second
 )
 
-// newStore returns a client of the store.
-func newStore(address string, c clock.Clock, invalidEntry func(string, uint64, error)) *platform.Store {
+// newStore returns a client of the store. It calls reconnected for each connection after
+// the first.
+func newStore(address string, c clock.Clock, invalidEntry func(string, uint64, error), reconnected func()) *platform.Store {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes}}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	var connected atomic.Bool
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err == nil && connected.Swap(true) {
+			reconnected()
+		}
+		return conn, err
+	}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	return &platform.Store{Address: address, Client: &http.Client{Transport: transport}, Clock: c, InvalidEntry: invalidEntry}
 }
 
@@ -176,7 +186,9 @@
 }
 
 // requestRefresh interrupts a watch that waits for changes, and makes the next one
-// return at once.
+// return at once. Besides, it is called for each new connection: a store that was
+// restored may have reached the revision that the watch continues from, and would tell
+// its era only at the next change.
 func (b *Balancer) requestRefresh() {
 	select {
 	case b.refreshRequests <- struct{}{}:
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -13,7 +13,7 @@
 	LogLevel   string // debug, info, warn or error; empty means info
 	FlowLifeS  int    // maximum lifetime of a flow, seconds; 0 means 60
 	// Disabled names mechanisms of package steer that are switched off, for experiments.
-	Disabled []string
+	Disabled []string `json:",omitempty"`
 }
 
 // PathBalancer is the settings file of a balancer of internal/path.
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -1,6 +1,7 @@
 package setup_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -43,3 +44,14 @@
 	_, err = setup.ReadPathBalancer("/nowhere")
 	assert.ErrorContains(t, err, "read settings")
 }
+
+// The soak and other programs write settings from these types.
+func TestWrittenSettingsAreValid(t *testing.T) {
+	read, err := setup.ReadPathAgent(writeSettings(t, validPathAgent))
+	assert.NilError(t, err)
+	raw, err := json.Marshal(read)
+	assert.NilError(t, err)
+	again, err := setup.ReadPathAgent(writeSettings(t, string(raw)))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, read)
+}
