Prefer one server of the own data centre for new flows

Change: the first of the flow's order in the balancer's own data centre comes before the order that all balancers share. An agent with busy slots passes the flow on as before, so a data centre with few servers fills no queue. Searches ask in the same order.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -86,6 +86,7 @@
 		return err
 	}
 	b.core.Registry.Disabled = b.core.Disabled
+	b.core.Registry.DataCentre = b.Settings.Path.DataCentre
 	b.core.EvacuationGracePeriod = clock.Millis(b.Settings.EvacuateMs)
 	b.limitedLog = newLimitedLog(b.Log)
 	b.startTimer = time.NewTimer(tickInterval)
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -183,7 +183,7 @@
 		return b.refuse(now, service, m.Reason)
 	}
 	var ranked [MaxVisited]place.ID
-	count := pool.accepting.Rank(hash, ranked[:])
+	count := rank(pool.accepting, pool.localAccepting, hash, ranked[:])
 	if next := b.nextCandidate(now, view, ranked[:count], p.Copy, m); next != 0 {
 		if b.isStarting(next) {
 			return b.park(now, p, m, awaitAgents)
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -22,6 +22,8 @@
 	// A flow that all candidates deny as busy is queued at the least busy of them, not at
 	// the last one.
 	QueueAtLeastBusy
+	// New flows prefer servers in the balancer's own data centre.
+	PreferLocal
 	// A new server receives new flows only after settleTime.
 	Settle
 	// An unlisted server counts as running until its entry had the time to return.
--- a/pkg/steer/mechanism_string.go
+++ b/pkg/steer/mechanism_string.go
@@ -12,31 +12,32 @@
 	_ = x[RotateCopies-1]
 	_ = x[SilentLast-2]
 	_ = x[QueueAtLeastBusy-3]
-	_ = x[Settle-4]
-	_ = x[AwaitEntry-5]
-	_ = x[Park-6]
-	_ = x[LimitSearch-7]
-	_ = x[ReadyByReach-8]
-	_ = x[ResetUnreachable-9]
-	_ = x[FanOut-10]
-	_ = x[AwaitAgents-11]
-	_ = x[PassOn-12]
-	_ = x[Queue-13]
-	_ = x[InTimeFirst-14]
-	_ = x[CopyAge-15]
-	_ = x[UrgentFirst-16]
-	_ = x[NewestFirst-17]
-	_ = x[CutQueue-18]
-	_ = x[ExtraFlows-19]
-	_ = x[ProbeSilentServer-20]
-	_ = x[AssumeCold-21]
-	_ = x[CheckAck-22]
-	_ = x[mechanismCount-23]
+	_ = x[PreferLocal-4]
+	_ = x[Settle-5]
+	_ = x[AwaitEntry-6]
+	_ = x[Park-7]
+	_ = x[LimitSearch-8]
+	_ = x[ReadyByReach-9]
+	_ = x[ResetUnreachable-10]
+	_ = x[FanOut-11]
+	_ = x[AwaitAgents-12]
+	_ = x[PassOn-13]
+	_ = x[Queue-14]
+	_ = x[InTimeFirst-15]
+	_ = x[CopyAge-16]
+	_ = x[UrgentFirst-17]
+	_ = x[NewestFirst-18]
+	_ = x[CutQueue-19]
+	_ = x[ExtraFlows-20]
+	_ = x[ProbeSilentServer-21]
+	_ = x[AssumeCold-22]
+	_ = x[CheckAck-23]
+	_ = x[mechanismCount-24]
 }
 
-const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusySettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableFanOutAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAcknot a mechanism"
+const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableFanOutAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAcknot a mechanism"
 
-var _Mechanism_index = [...]uint8{0, 10, 22, 32, 48, 54, 64, 68, 79, 91, 107, 113, 124, 130, 135, 146, 153, 164, 175, 183, 193, 210, 220, 228, 243}
+var _Mechanism_index = [...]uint8{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 124, 135, 141, 146, 157, 164, 175, 186, 194, 204, 221, 231, 239, 254}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -109,6 +109,9 @@
 	// still hold flows. 0 means DefaultFlowLife.
 	FlowLife clock.Millis
 	Disabled MechanismSet
+	// DataCentre is the balancer's own data centre, whose servers its callers' flows
+	// prefer. Empty means none.
+	DataCentre string
 
 	config    *Config
 	servers   map[string]*Server    // by name
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		var ranked [MaxVisited]place.ID
-		for _, id := range ranked[:pool.holders.Rank(hash, ranked[:])] {
+		for _, id := range ranked[:rank(pool.holders, pool.localHolders, hash, ranked[:])] {
 			b.considerHolder(now, view, id, target.Service, abandon, m, &h)
 		}
 		if h.next == 0 { // a ranking does not hold all agents of a large service
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -28,6 +28,24 @@
 	coldRate  float64     // new flows a second for each cold server, 0 if not set
 	accepting place.Table // agents whose servers may take new flows
 	holders   place.Table // agents whose servers may hold flows
+	// localAccepting and localHolders are the part of them in the balancer's data centre.
+	localAccepting, localHolders place.Table
+}
+
+// rank writes the order of a flow into the slice and returns its length: the first of
+// local, then the order of all, which all balancers share. One local server is enough:
+// a data centre with few servers soon passes flows on to the others.
+func rank(all, local place.Table, hash uint64, into []place.ID) int {
+	first := local.Rank(hash, into[:1])
+	n := first + all.Rank(hash, into[first:])
+	if first == 0 {
+		return n
+	}
+	if i := slices.Index(into[1:n], into[0]); i >= 0 {
+		copy(into[1+i:n], into[2+i:n])
+		n--
+	}
+	return n
 }
 
 // never is later than any instant that occurs.
@@ -48,9 +66,14 @@
 		}
 	}
 	accepting, holders := make(map[string][]place.Member), make(map[string][]place.Member)
+	localAccepting, localHolders := make(map[string][]place.Member), make(map[string][]place.Member)
+	local := func(s *Server) bool { return s.DataCentre == r.DataCentre && !r.Disabled.Has(PreferLocal) }
 	servers := sortedByName(r.servers)
 	for _, s := range servers {
 		addMember(holders, s)
+		if local(s) {
+			addMember(localHolders, s)
+		}
 		if latest := v.serverByAgent[s.Agent]; latest == nil || latest.StartMs <= s.StartMs {
 			v.serverByAgent[s.Agent] = s
 		}
@@ -66,10 +89,14 @@
 		v.serverByAgent[s.Agent] = &current
 		if _, outOfService := r.evacuated[s.DataCentre]; current.State == Serving && !outOfService && r.settled(now, s) {
 			addMember(accepting, s)
+			if local(s) {
+				addMember(localAccepting, s)
+			}
 		}
 	}
 	for name := range v.services {
-		v.services[name] = &pool{id: ServiceOf(name), accepting: place.New(accepting[name]), holders: place.New(holders[name])}
+		v.services[name] = &pool{id: ServiceOf(name), accepting: place.New(accepting[name]), holders: place.New(holders[name]),
+			localAccepting: place.New(localAccepting[name]), localHolders: place.New(localHolders[name])}
 	}
 	for _, s := range r.config.Services {
 		if p := v.services[s.Name]; p != nil {
