Stay ready while the own data centre is reached

Cause: with flows opening in their own data centre, a data centre that is cut off from the others can go on serving its callers. Its balancers reach a quarter of the agents, left the rotation, and the callers were sent to hosts that reach none of their servers.

Change: a balancer is also ready while it reaches at least half of the agents in its own data centre. It resets no flows then, as before.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -48,6 +48,7 @@
 	agentStates  map[place.ID]*agentState
 	needsRefresh bool // the process was suspended, and its view may be outdated
 	cutOff       bool // most listed agents were silent at the last Tick
+	reachesLocal bool // at least half of those in the own data centre were not
 	parked       []parkedPacket
 	resumedSince clock.Millis // when the packet that is being resumed was parked, 0 if none is
 	// startedAgents is the number of agents that have replied for the first time, or
@@ -72,10 +73,10 @@
 }
 
 // Ready reports whether the routers should send packets to the balancer: it can assign
-// new flows to servers and reaches most agents.
+// new flows to servers and reaches most agents, or most of its own data centre.
 func (b *Balancer) Ready(now clock.Millis) bool {
 	view := b.Registry.View(now)
-	return view != nil && view.Servers() > 0 && !b.needsRefresh && (!b.cutOff || b.Disabled.Has(ReadyByReach))
+	return view != nil && view.Servers() > 0 && !b.needsRefresh && (!b.cutOff || b.reachesLocal || b.Disabled.Has(ReadyByReach))
 }
 
 // RecordSuspension records that the process did not run for so long that its view may be
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -67,20 +67,30 @@
 	return state != nil && state.silent && !state.shutDown && now-state.unansweredSince >= unreachableTimeout
 }
 
-// mostSilent reports whether most of the listed agents are silent, apart from those that
-// are starting. This balancer's host is then more likely to be cut off than theirs.
-func (b *Balancer) mostSilent(view *View) bool {
-	listed, silent := 0, 0
+// updateReach counts the listed agents that are silent, apart from those that are
+// starting. If most are, this balancer's host is more likely to be cut off than theirs.
+// It can still serve its own data centre if it reaches most agents there.
+func (b *Balancer) updateReach(view *View) {
+	var listed, silent, localListed, localSilent int
 	for id, s := range view.serverByAgent {
 		if s.State == Unlisted {
 			continue
 		}
+		isSilent := b.isSilent(id) && !b.isStarting(id)
 		listed++
-		if b.isSilent(id) && !b.isStarting(id) {
+		if isSilent {
 			silent++
 		}
+		if s.DataCentre != b.Registry.DataCentre {
+			continue
+		}
+		localListed++
+		if isSilent {
+			localSilent++
+		}
 	}
-	return 2*silent > listed
+	b.cutOff = 2*silent > listed
+	b.reachesLocal = localListed > 0 && 2*localSilent <= localListed
 }
 
 // mayAbandon reports whether a flow whose holder is unreachable may be reset, so that
@@ -175,7 +185,9 @@
 	var newlySilent []SilentAgent
 	view := b.Registry.View(now)
 	b.expireFanOuts(now)
-	b.cutOff = view != nil && b.mostSilent(view)
+	if view != nil {
+		b.updateReach(view)
+	}
 	if view != nil && !b.Disabled.Has(AwaitAgents) {
 		b.addStarting(now, view)
 	}
--- a/pkg/steer/reach_test.go
+++ b/pkg/steer/reach_test.go
@@ -130,3 +130,32 @@
 	c.tick(b, 3)
 	assert.Assert(t, b.Ready(c.now))
 }
+
+// A data centre that is cut off from the others goes on serving its own callers.
+func TestBalancerIsReadyWhileItReachesItsOwnDataCentre(t *testing.T) {
+	c := newLocalCluster(t, 9)
+	b := c.balancers[0]
+	for _, h := range c.hosts {
+		h.unreachable = h.centre != "dc1"
+	}
+	for port := 1000; port < 1060; port++ {
+		c.open(b, port)
+	}
+	c.tick(b, 10)
+	assert.Assert(t, b.Ready(c.now))
+	served := 0
+	for port := 2000; port < 2040; port++ {
+		if h := c.open(b, port); h != nil && h.centre == "dc1" {
+			served++
+		}
+	}
+	assert.Equal(t, served, 40)
+	for _, h := range c.hosts {
+		h.unreachable = true
+	}
+	for port := 3000; port < 3060; port++ {
+		c.open(b, port)
+	}
+	c.tick(b, 10)
+	assert.Assert(t, !b.Ready(c.now), "the host reaches nothing")
+}
