--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -262,13 +262,9 @@
 func (b *Balancer) execute(d steer.Decision, p steer.Packet, m *steer.Message, raw []byte) {
 	switch d.Verdict {
 	case steer.Offer:
-		now := b.Clock.Now()
-		b.sendOffer(now, d.To, p, m, raw)
-		for d, more := b.core.NextOffer(now, p, m); more; d, more = b.core.NextOffer(now, p, m) {
-			if d.Verdict == steer.Offer {
-				b.sendOffer(now, d.To, p, m, raw)
-			}
-		}
+		start := len(raw) - platform.HeaderBytes - p.Bytes - m.Size()
+		m.Encode(raw[start:])
+		b.limitedLog.sendOrLog(b.Clock.Now(), b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(d.To), b.packetPort))
 	case steer.Wait:
 		b.core.KeepRaw(raw[len(raw)-platform.HeaderBytes-p.Bytes:])
 		if d.Reason == steer.StaleView {
@@ -284,14 +280,6 @@
 	}
 }
 
-// sendOffer sends the packet at the end of raw to an agent, with the message m right in
-// front of it.
-func (b *Balancer) sendOffer(now clock.Millis, to place.ID, p steer.Packet, m *steer.Message, raw []byte) {
-	start := len(raw) - platform.HeaderBytes - p.Bytes - m.Size()
-	m.Encode(raw[start:])
-	b.limitedLog.sendOrLog(now, b.agents, raw[start:], netip.AddrPortFrom(steer.AddrOf(to), b.packetPort))
-}
-
 // countReset counts a reset against the service level of the decision's service. Flows
 // that no route matches belong to no service.
 func (b *Balancer) countReset(d steer.Decision) {
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -31,8 +31,7 @@
 
 // Balancer decides which agent receives each packet. Its state may be lost at any
 // moment. Set the exported fields before the first call. Pass packets to FromCaller and
-// Denied, each followed by NextOffer, messages without a packet to HandleMessage, and
-// call Tick and Resume regularly.
+// Denied, messages without a packet to HandleMessage, and call Tick and Resume regularly.
 // A Balancer is not safe for concurrent use.
 type Balancer struct {
 	CacheFlows int // number of flows whose owners are cached; 0 means DefaultCacheFlows
@@ -54,8 +53,6 @@
 	// startedAgents is the number of agents that have replied for the first time, or
 	// failed to within startTime.
 	startedAgents int
-	fanOuts       map[flow.Key]*fanOut // searches that await the answers of several agents
-	nextOffers    []place.ID           // agents that NextOffer returns
 
 	backlogUntil clock.Millis // until then, SYNs may have been received before a pause
 }
@@ -69,7 +66,6 @@
 	}
 	b.owners = flow.NewCache(b.CacheFlows)
 	b.agentStates = make(map[place.ID]*agentState)
-	b.fanOuts = make(map[flow.Key]*fanOut)
 }
 
 // Ready reports whether the routers should send packets to the balancer: it can assign
@@ -96,7 +92,6 @@
 // message that is sent in front of the packet.
 func (b *Balancer) FromCaller(now clock.Millis, p Packet, m *Message) Decision {
 	b.init()
-	b.nextOffers = b.nextOffers[:0]
 	view := b.Registry.View(now)
 	if view == nil {
 		return Decision{Verdict: Drop, Reason: NoView}
@@ -127,7 +122,6 @@
 // agent returned with it.
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
 	b.init()
-	b.nextOffers = b.nextOffers[:0]
 	b.recordAnswer(from)
 	view := b.Registry.View(now)
 	if view == nil {
@@ -147,12 +141,7 @@
 		m.addVisited(from)
 		return b.open(now, view, route, hash, p, m)
 	}
-	switch {
-	case m.LastOffer:
-		if !b.deniedInFanOut(from, p, m) {
-			return Decision{Verdict: Drop, Reason: Searching}
-		}
-	case !m.addVisited(from) || !m.Reason.Certain():
+	if recorded := m.addVisited(from); !recorded || !m.Reason.Certain() {
 		m.Inconclusive = true
 	}
 	return b.search(now, view, route, hash, p, m)
@@ -294,7 +283,6 @@
 	switch m.Kind {
 	case HoldFlow:
 		b.owners.Put(now, m.Key.Hash(), from)
-		delete(b.fanOuts, m.Key)
 	case Shutdown:
 		b.recordShutdown(now, from, m.Reason)
 		return false
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -36,8 +36,6 @@
 	ReadyByReach
 	// Flows of unreachable servers are reset.
 	ResetUnreachable
-	// A search asks the agents after the first ones all at once.
-	FanOut
 	// Packets wait for the first replies of agents that were just listed.
 	AwaitAgents
 	// An agent with busy slots passes new flows on to other agents.
--- a/pkg/steer/mechanism_string.go
+++ b/pkg/steer/mechanism_string.go
@@ -19,25 +19,24 @@
 	_ = x[LimitSearch-8]
 	_ = x[ReadyByReach-9]
 	_ = x[ResetUnreachable-10]
-	_ = x[FanOut-11]
-	_ = x[AwaitAgents-12]
-	_ = x[PassOn-13]
-	_ = x[Queue-14]
-	_ = x[InTimeFirst-15]
-	_ = x[CopyAge-16]
-	_ = x[UrgentFirst-17]
-	_ = x[NewestFirst-18]
-	_ = x[CutQueue-19]
-	_ = x[ExtraFlows-20]
-	_ = x[ProbeSilentServer-21]
-	_ = x[AssumeCold-22]
-	_ = x[CheckAck-23]
-	_ = x[mechanismCount-24]
+	_ = x[AwaitAgents-11]
+	_ = x[PassOn-12]
+	_ = x[Queue-13]
+	_ = x[InTimeFirst-14]
+	_ = x[CopyAge-15]
+	_ = x[UrgentFirst-16]
+	_ = x[NewestFirst-17]
+	_ = x[CutQueue-18]
+	_ = x[ExtraFlows-19]
+	_ = x[ProbeSilentServer-20]
+	_ = x[AssumeCold-21]
+	_ = x[CheckAck-22]
+	_ = x[mechanismCount-23]
 }
 
-const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableFanOutAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAcknot a mechanism"
+const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAcknot a mechanism"
 
-var _Mechanism_index = [...]uint8{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 124, 135, 141, 146, 157, 164, 175, 186, 194, 204, 221, 231, 239, 254}
+var _Mechanism_index = [...]uint8{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 129, 135, 140, 151, 158, 169, 180, 188, 198, 215, 225, 233, 248}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -40,9 +40,8 @@
 type Message struct {
 	Kind   MessageKind
 	Reason Reason
-	// LastOffer marks the offer of a SYN to the least busy server after every candidate
-	// was busy: the agent must queue the SYN rather than deny it as Busy. Of another
-	// packet it marks the offers to all remaining agents at once.
+	// LastOffer marks the offer to the least busy server after every candidate was
+	// busy: the agent must queue the SYN rather than deny it as Busy.
 	LastOffer bool
 	// Inconclusive means that an earlier denial did not prove that the agent's
 	// server does not hold the flow.
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -116,7 +116,6 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	b.nextOffers = b.nextOffers[:0]
 	if p.SYN && !p.HasACK {
 		return b.open(now, view, route, p.Key.Hash(), p, m)
 	}
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -184,7 +184,6 @@
 	b.init()
 	var newlySilent []SilentAgent
 	view := b.Registry.View(now)
-	b.expireFanOuts(now)
 	if view != nil {
 		b.updateReach(view)
 	}
