Search for a flow's holder in rounds, and ask only agents that can hold it

With 109 servers a flow that nobody held was never concluded, and its caller waited for its own time limit. - Hosts that went while their data centre was evacuated got no packets any more, so their silence was never noticed, and no flow that they might have held was reset.

The balancer keeps the packet and asks agents in rounds of growing size. First they look only into their records. Servers are tried only if no agent has a record, all could be asked and the view is fresh. A denial carries the flow's key, not the packet. Agents that have run for a flow's life need no second question. Agents of unlisted servers in evacuated data centres are pinged, and those of ended servers only every two seconds.

The property test found three holes of the bound: the drained later run behind a listed former entry, evacuations that a new balancer has not seen, and servers that have not settled.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -271,7 +271,11 @@
 		platform.ClearTransitFields(packet)
 		start := len(raw) - len(packet) - m.Size()
 		m.Encode(raw[start:])
-		a.limitedLog.sendOrLog(now, a.packets, raw[start:], out.To)
+		end := len(raw)
+		if m.PacketKept {
+			end -= len(packet)
+		}
+		a.limitedLog.sendOrLog(now, a.packets, raw[start:end], out.To)
 	case steer.Wait:
 		a.core.KeepRaw(packet)
 	case steer.ToCaller:
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -189,6 +189,9 @@
 		d := b.core.FromCaller(now, p, &m)
 		b.recordDecision(now, p, d, &m)
 		b.execute(d, p, &m, raw)
+		if d.Verdict == steer.Wait {
+			b.resumeParked(now)
+		}
 	})
 }
 
@@ -201,13 +204,14 @@
 		switch {
 		case err != nil:
 			b.limitedLog.info(now, "message dropped", "from", from, "err", err)
+		case m.Kind == steer.DenyPacket && m.PacketKept && len(rest) == 0:
+			b.core.DeniedKept(now, agent, &m)
 		case m.Kind == steer.DenyPacket:
 			b.handleDenial(now, agent, &m, raw, len(rest))
 		case b.core.HandleMessage(now, agent, &m):
 			b.Log.Info("agent regained", "agent", from.Addr())
-		case m.Kind == steer.Pong:
-			b.resumeParked(now)
 		}
+		b.resumeParked(now)
 	})
 }
 
@@ -300,8 +304,10 @@
 			return
 		}
 		b.countDecision(r.Decision.Verdict, r.Decision.Reason)
-		b.limitedLog.info(now, "resumed", "flow", r.Packet.Key, "decision", decisionText(r.Decision.Verdict, r.Decision.Reason),
-			"to", steer.AddrOf(r.Decision.To), "waited", r.Waited)
+		if r.Decision.Reason != steer.Searching || !r.Message.PacketKept { // a search logs only its beginning and its end
+			b.limitedLog.info(now, "resumed", "flow", r.Packet.Key, "decision", decisionText(r.Decision.Verdict, r.Decision.Reason),
+				"to", steer.AddrOf(r.Decision.To), "waited", r.Waited, "viewAge", now-b.viewChangedAt)
+		}
 		raw := append(make([]byte, headroom, headroom+len(r.Raw)), r.Raw...)
 		b.execute(r.Decision, r.Packet, r.Message, raw)
 	}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -89,7 +89,7 @@
 	limit := min(len(into), maxRanked)
 	count := 0
 	for _, id := range t.ids {
-		score := fmix64(key ^ uint64(id))
+		score := hashScore(key, id)
 		if count < limit || score > scores[count-1] {
 			count = insertRanked(scores[:limit], into, count, score, id)
 		}
@@ -97,16 +97,13 @@
 	return count
 }
 
-// rankWeighted scores each member by weight / -ln(hash), where the hash is scaled to
-// the interval (0, 1). Each member then ranks first for a share of the keys that is
-// proportional to its weight.
+// rankWeighted ranks members by their weighted scores.
 func (t Table) rankWeighted(key uint64, into []ID) int {
 	var scores [maxRanked]float64
 	limit := min(len(into), maxRanked)
 	count := 0
 	for i, id := range t.ids {
-		uniform := (float64(fmix64(key^uint64(id))>>11) + 0.5) / (1 << 53)
-		score := t.weights[i] / -math.Log(uniform)
+		score := weightedScore(key, id, t.weights[i])
 		if count < limit || score > scores[count-1] {
 			count = insertRanked(scores[:limit], into, count, score, id)
 		}
@@ -139,3 +136,40 @@
 	x ^= x >> 33
 	return x
 }
+
+// Order returns all members for a key, best first, in the order of Rank. It allocates.
+func (t Table) Order(key uint64) []ID {
+	if t.weights == nil {
+		return orderBy(t.ids, func(i int) uint64 { return hashScore(key, t.ids[i]) })
+	}
+	return orderBy(t.ids, func(i int) float64 { return weightedScore(key, t.ids[i], t.weights[i]) })
+}
+
+// orderBy returns the IDs by descending score of their indices.
+func orderBy[S cmp.Ordered](ids []ID, score func(int) S) []ID {
+	type scored struct {
+		id    ID
+		score S
+	}
+	all := make([]scored, len(ids))
+	for i, id := range ids {
+		all[i] = scored{id, score(i)}
+	}
+	slices.SortStableFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	out := make([]ID, len(all))
+	for i, s := range all {
+		out[i] = s.id
+	}
+	return out
+}
+
+// hashScore scores a member among members of equal weight.
+func hashScore(key uint64, id ID) uint64 { return fmix64(key ^ uint64(id)) }
+
+// weightedScore scores a member by weight / -ln(hash), where the hash is scaled to the
+// interval (0, 1). Each member then ranks first for a share of the keys that is
+// proportional to its weight.
+func weightedScore(key uint64, id ID, weight float64) float64 {
+	uniform := (float64(hashScore(key, id)>>11) + 0.5) / (1 << 53)
+	return weight / -math.Log(uniform)
+}
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -58,10 +58,11 @@
 	// Unanswered, if set, is called for each request that the server did not answer.
 	Unanswered func()
 
-	flows    map[flow.Key]*flowEntry
-	load     int         // requests in progress, and flows expected to send one
-	state    ServerState // as balancers report it
-	revision uint64      // of the entry that state was read from
+	startedAt clock.Millis // time of the first call
+	flows     map[flow.Key]*flowEntry
+	load      int         // requests in progress, and flows expected to send one
+	state     ServerState // as balancers report it
+	revision  uint64      // of the entry that state was read from
 	// restoreSeenAt is when a message first took back a drain in a later era of the
 	// platform's store, 0 if none does.
 	restoreSeenAt clock.Millis
@@ -107,12 +108,18 @@
 	Opened   bool // a new flow was delivered to the server
 }
 
-func (a *Agent) init() {
+func (a *Agent) init(now clock.Millis) {
 	if a.flows == nil {
-		a.flows = make(map[flow.Key]*flowEntry)
+		a.startedAt, a.flows = now, make(map[flow.Key]*flowEntry)
 	}
 }
 
+// knowsAllFlows reports whether the agent has a record of each flow that its server may
+// hold: it has run for longer than flows live.
+func (a *Agent) knowsAllFlows(now clock.Millis) bool {
+	return now-a.startedAt > flowLifeOrDefault(a.FlowLife)
+}
+
 // Counts returns the counters since the start.
 func (a *Agent) Counts() Counts { return a.counts }
 
@@ -129,8 +136,9 @@
 // FromBalancer decides on an offered packet. If it is denied, m is updated to the
 // message that is sent back with it.
 func (a *Agent) FromBalancer(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
-	a.init()
+	a.init(now)
 	a.updateServer(now, m)
+	m.Key = p.Key
 	if m.Service != a.Service && m.Service != ServiceOf("") {
 		return a.deny(from, m, WrongService)
 	}
@@ -278,7 +286,9 @@
 	switch {
 	case a.serverGone(now):
 		return a.deny(from, m, ServerGone)
-	case m.KnownOnly && (e == nil || e.phase == probing || e.phase == returned):
+	case e == nil && a.knowsAllFlows(now):
+		return a.deny(from, m, NotHeld)
+	case m.KnownOnly && (e == nil || e.phase == probing):
 		return a.deny(from, m, FlowUnknown)
 	case e == nil:
 		stored := *m
@@ -298,7 +308,7 @@
 	e.balancer, e.lastSeen, e.goal = from, now, m.Goal
 	e.reportHolder = e.reportHolder || m.Reason == Searching
 	out := Outcome{Verdict: Deliver, Reason: KnownOwner}
-	if e.reportHolder && e.phase == opened {
+	if e.reportHolder && (e.phase == opened || e.phase == ended) {
 		e.reportHolder, out.ReportTo = false, from
 	}
 	a.trackCaller(now, p, e)
@@ -317,7 +327,7 @@
 // FromServer decides on a packet of the server. If the server returned it and it is
 // denied, m is set to the message that goes back with it.
 func (a *Agent) FromServer(now clock.Millis, p Packet, m *Message) Outcome {
-	a.init()
+	a.init(now)
 	a.lastFromServer, a.firstUnanswered, a.refusedAt = now, 0, 0
 	e := a.flows[p.Key]
 	if p.Returned {
@@ -362,10 +372,11 @@
 			a.coldUntil = max(a.coldUntil, now+assumedColdTime)
 		}
 	}
-	m.VisitedCount, m.LeastBusy, m.LeastBusyLoad, m.Inconclusive, m.LastOffer = 0, 0, 0, false, false
+	m.VisitedCount, m.LeastBusy, m.LeastBusyLoad, m.Inconclusive, m.LastOffer, m.PacketKept = 0, 0, 0, false, false, false
 	if e.message != nil {
 		*m = *e.message
 	}
+	m.Key = p.Key
 	a.setInLoad(e, false, now)
 	if e.message == nil {
 		e.message = &Message{}
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -15,10 +15,10 @@
 	// before the least busy of them must queue it. More candidates improve the
 	// balance little, and each costs a hop.
 	maxCandidates = 4
-	// maxUncertainOffers is the number of agents that may try their servers with a
-	// packet while the flow's holder may be unreachable. The users count three
-	// wrong servers as a misrouted packet.
-	maxUncertainOffers = 2
+	// maxOpenOffers is the number of servers that a new flow is offered to at all, those
+	// that are passed over included, and besides the first of the own data centre. It
+	// bounds the agents that may hold a flow.
+	maxOpenOffers = 12
 )
 
 // Decision says what the balancer does with a packet, and why.
@@ -49,6 +49,9 @@
 	cutOff       bool // most listed agents were silent at the last Tick
 	reachesLocal bool // at least half of those in the own data centre were not
 	parked       []parkedPacket
+	searches     map[flow.Key]*search
+	ready        []readyOffer // for Resume
+	unkept       *[]byte      // where KeepRaw stores the bytes of the last packet
 	resumedSince clock.Millis // when the packet that is being resumed was parked, 0 if none is
 	// startedAgents is the number of agents that have replied for the first time, or
 	// failed to within startTime.
@@ -66,6 +69,7 @@
 	}
 	b.owners = flow.NewCache(b.CacheFlows)
 	b.agentStates = make(map[place.ID]*agentState)
+	b.searches = make(map[flow.Key]*search)
 }
 
 // Ready reports whether the routers should send packets to the balancer: it can assign
@@ -100,12 +104,12 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	m.Kind, m.Reason, m.LastOffer, m.Inconclusive, m.KnownOnly, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = OfferPacket, KnownOwner, false, false, false, 0, 0, 0
+	m.Kind, m.Reason, m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = OfferPacket, KnownOwner, false, false, false, false, 0, 0, 0
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) && !b.Disabled.Has(OwnerCache) {
 		switch {
-		case !p.SYN && b.isSilent(owner) && b.Registry.returnUndecided(now, view.serverByAgent[owner]):
+		case !p.SYN && b.isSilent(owner) && b.searches[p.Key] == nil && b.Registry.returnUndecided(now, view.serverByAgent[owner]):
 			return b.park(now, p, m, awaitAnswer)
 		case !p.SYN && b.unreachable(now, owner) && b.mayAbandon(route):
 			return Decision{Verdict: Refuse, Reason: Unreachable, Service: route.service()}
@@ -115,11 +119,11 @@
 	if p.SYN && !p.HasACK {
 		return b.open(now, view, route, hash, p, m)
 	}
-	return b.search(now, view, route, hash, p, m)
+	return b.start(now, view, route, hash, p, m)
 }
 
 // Denied decides on a packet that an agent has denied. m is the message that the
-// agent returned with it.
+// agent returned. Call Resume afterwards.
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
 	b.init()
 	b.recordAnswer(from)
@@ -141,10 +145,25 @@
 		m.addVisited(from)
 		return b.open(now, view, route, hash, p, m)
 	}
-	if recorded := m.addVisited(from); !recorded || !m.Reason.Certain() {
-		m.Inconclusive = true
+	return b.denyHolder(now, view, route, hash, from, p, m)
+}
+
+// DeniedKept handles the denial of a packet that the agent has not sent back, since this
+// balancer has kept it (Message.PacketKept). Resume returns the decision on the packet.
+func (b *Balancer) DeniedKept(now clock.Millis, from place.ID, m *Message) {
+	b.init()
+	s := b.searches[m.Key]
+	if s == nil {
+		b.recordAnswer(from)
+		return // the holder has been found meanwhile
+	}
+	d := b.Denied(now, from, s.packet, m)
+	if d.Verdict != Wait {
+		b.end(s, d)
+	}
+	if d.Verdict != Wait || d.Reason != Searching {
+		b.ready = append(b.ready, readyOffer{decision: d, packet: s.packet, message: s.message, raw: &s.raw, since: s.since})
 	}
-	return b.search(now, view, route, hash, p, m)
 }
 
 // recordLeastBusy records an agent that denied a SYN as Busy, and its load in percent of
@@ -172,7 +191,7 @@
 	if m.LastOffer {
 		return b.refuse(now, service, m.Reason)
 	}
-	var ranked [MaxVisited]place.ID
+	var ranked [1 + maxOpenOffers]place.ID
 	count := rank(pool.accepting, pool.localAccepting, hash, ranked[:])
 	if next := b.nextCandidate(now, view, ranked[:count], p.Copy, m); next != 0 {
 		if b.isStarting(next) {
@@ -221,7 +240,7 @@
 	for i := range ranked {
 		id := ranked[(i+skip)%len(ranked)]
 		switch {
-		case m.visited(id), b.departed(now, view, id):
+		case m.visited(id), view.passedOver[id], b.departed(now, view, id):
 		case !b.isSilent(id), b.Disabled.Has(SilentLast):
 			return id
 		case fallback == 0:
@@ -283,6 +302,7 @@
 	switch m.Kind {
 	case HoldFlow:
 		b.owners.Put(now, m.Key.Hash(), from)
+		b.found(now, m.Key, from)
 	case Shutdown:
 		b.recordShutdown(now, from, m.Reason)
 		return false
--- a/pkg/steer/bench_test.go
+++ b/pkg/steer/bench_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 
@@ -39,3 +40,20 @@
 		agent.FromServer(1000, answer, &m)
 	}
 }
+
+// The agents that are asked about a flow that nobody holds, and the round trips.
+func BenchmarkSearchForLostFlow(b *testing.B) {
+	for _, servers := range []int{30, 100, 300, 1000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			c := newCluster(b, servers, 1)
+			c.renewEntries()
+			port, rounds := 1000, 0
+			for b.Loop() {
+				port++
+				rounds += c.sendLost(port)
+			}
+			b.ReportMetric(float64(c.offers)/float64(port-1000), "offers/op")
+			b.ReportMetric(float64(rounds)/float64(port-1000), "rounds/op")
+		})
+	}
+}
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -30,7 +30,8 @@
 	AwaitEntry
 	// A packet that needs a newer view is parked, not dropped.
 	Park
-	// While a possible holder cannot be asked, few other servers are tried.
+	// Servers are tried with a packet only if no agent has a record of its flow and each
+	// could be asked.
 	LimitSearch
 	// A balancer that reaches few agents is not ready.
 	ReadyByReach
@@ -60,6 +61,8 @@
 	AssumeCold
 	// A packet that acknowledges another server's sequence number is denied.
 	CheckAck
+	// A search asks only the agents that were among the first for the flow when it opened.
+	BoundSearch
 	mechanismCount // not a mechanism
 )
 
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -30,9 +30,7 @@
 	Shutdown // Goodbye
 )
 
-// MaxVisited is the number of agents that one packet may be offered to. If more
-// agents may hold the flow, the packet is dropped in the end: a reset would need a
-// denial from each of them.
+// MaxVisited is the number of agents that a message has room for.
 const MaxVisited = 96
 
 // Message is exchanged between a balancer and an agent, in front of the packet if
@@ -43,13 +41,15 @@
 	// LastOffer marks the offer to the least busy server after every candidate was
 	// busy: the agent must queue the SYN rather than deny it as Busy.
 	LastOffer bool
-	// Inconclusive means that an earlier denial did not prove that the agent's
-	// server does not hold the flow.
+	// Inconclusive is only echoed: balancers of earlier versions set it on a packet whose
+	// earlier denials did not prove that the agents' servers do not hold the flow.
 	Inconclusive bool
 	// KnownOnly forbids the agent from trying its server with a flow that it has no
-	// record of: an agent before it in the flow's order was unreachable and may be
-	// the owner.
-	KnownOnly     bool
+	// record of: another agent may be the owner.
+	KnownOnly bool
+	// PacketKept means that the balancer has kept the packet: a denial needs only the
+	// flow's key.
+	PacketKept    bool
 	State         ServerState        // of the agent's server, in the balancer's view
 	Service       ServiceID          // that the packet is for
 	Revision      uint64             // of the server's entry in the balancer's view
@@ -61,8 +61,8 @@
 	Slots         int                // requests that the server can run at once
 	LeastBusy     place.ID           // least busy agent that denied the packet, 0 if none
 	LeastBusyLoad int                // its requests in percent of its slots
-	Key           flow.Key           // of a HoldFlow
-	Visited       [MaxVisited]uint32 // agents that denied the packet
+	Key           flow.Key           // of a HoldFlow, or of a denial without a packet
+	Visited       [MaxVisited]uint32 // agents that denied the SYN
 	VisitedCount  int                // entries of Visited in use
 }
 
@@ -77,6 +77,7 @@
 	flagLastOffer    = 1 << 0
 	flagInconclusive = 1 << 1
 	flagKnownOnly    = 1 << 2
+	flagPacketKept   = 1 << 3
 )
 
 // ErrMessage is returned for bytes that do not decode to a message.
@@ -122,6 +123,9 @@
 	if m.KnownOnly {
 		f |= flagKnownOnly
 	}
+	if m.PacketKept {
+		f |= flagPacketKept
+	}
 	return f
 }
 
@@ -138,7 +142,7 @@
 	}
 	m.Kind, m.Reason, m.State = kind, Reason(b[1]), ServerState(b[3])
 	m.LastOffer, m.Inconclusive = b[2]&flagLastOffer != 0, b[2]&flagInconclusive != 0
-	m.KnownOnly = b[2]&flagKnownOnly != 0
+	m.KnownOnly, m.PacketKept = b[2]&flagKnownOnly != 0, b[2]&flagPacketKept != 0
 	m.Service = ServiceID(binary.BigEndian.Uint32(b[4:]))
 	m.Revision = binary.BigEndian.Uint64(b[8:])
 	m.ColdRate = int(binary.BigEndian.Uint16(b[16:]))
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -34,10 +34,20 @@
 	raw           []byte
 	since         clock.Millis
 	reason        parkReason
-	startedAgents int // Balancer.startedAgents when it was parked
+	startedAgents int     // Balancer.startedAgents when it was parked
+	search        *search // that goes on with the packet, nil if it begins anew
 }
 
-// Resumed is a parked packet and the decision on it.
+// readyOffer is an offer that Resume returns next.
+type readyOffer struct {
+	decision Decision
+	packet   Packet
+	message  Message
+	raw      *[]byte
+	since    clock.Millis
+}
+
+// Resumed is a packet that was parked or is being searched for, and the decision on it.
 type Resumed struct {
 	Decision Decision
 	Packet   Packet
@@ -68,6 +78,7 @@
 		since = b.resumedSince
 	}
 	b.parked = append(b.parked, parkedPacket{packet: p, message: *m, since: since, reason: reason, startedAgents: b.startedAgents})
+	b.unkept = &b.parked[len(b.parked)-1].raw
 	return Decision{Verdict: Wait, Reason: why}
 }
 
@@ -82,17 +93,26 @@
 	return b.viewConclusive(now)
 }
 
-// KeepRaw stores a copy of the bytes of the packet that was parked last.
+// KeepRaw stores a copy of the bytes of the packet on which the last decision was to
+// Wait.
 func (b *Balancer) KeepRaw(raw []byte) {
-	if n := len(b.parked); n > 0 {
-		b.parked[n-1].raw = slices.Clone(raw)
+	if b.unkept != nil {
+		*b.unkept = slices.Clone(raw)
+		b.unkept = nil
 	}
 }
 
-// Resume removes and returns the next parked packet that can be decided on, because what
-// it waits for has come or it has waited for maxParkTime. It returns false if there is
-// none. Call it until then. If the decision is to Wait, the packet is parked again.
+// Resume returns the next offer of a search. If there is none, it removes and returns
+// the next parked packet that can be decided on, because what it waits for has come or it
+// has waited for maxParkTime. It returns false if there is none. Call it until then. If
+// the decision is to Wait, the packet is kept.
 func (b *Balancer) Resume(now clock.Millis) (Resumed, bool) {
+	if len(b.ready) > 0 {
+		o := &b.ready[0]
+		r := Resumed{Decision: o.decision, Packet: o.packet, Message: &o.message, Raw: *o.raw, Waited: now - o.since}
+		b.ready = b.ready[1:]
+		return r, true
+	}
 	for i, p := range b.parked {
 		ready := b.mayResume(now, p)
 		if !ready && now-p.since < maxParkTime {
@@ -100,10 +120,18 @@
 		}
 		b.parked = slices.Delete(b.parked, i, i+1)
 		r := Resumed{Decision: Decision{Verdict: Drop, Reason: StaleView}, Packet: p.packet, Message: &p.message, Raw: p.raw, Waited: now - p.since}
+		if p.search != nil {
+			r.Raw = p.search.raw
+		}
 		if view := b.Registry.View(now); ready && view != nil {
 			b.resumedSince = p.since
-			r.Decision = b.resume(now, view, p.packet, r.Message)
+			r.Decision = b.resume(now, view, p, r.Message)
 			b.resumedSince = 0
+			if r.Decision.Verdict == Wait && len(b.ready) > 0 {
+				return b.Resume(now)
+			}
+		} else if p.search != nil {
+			b.end(p.search, Decision{})
 		}
 		return r, true
 	}
@@ -111,13 +139,21 @@
 }
 
 // resume decides on a parked packet.
-func (b *Balancer) resume(now clock.Millis, view *View, p Packet, m *Message) Decision {
+func (b *Balancer) resume(now clock.Millis, view *View, parked parkedPacket, m *Message) Decision {
+	p := parked.packet
 	route := view.routes[p.Key.Target()]
 	if route == nil {
+		if parked.search != nil {
+			b.end(parked.search, Decision{})
+		}
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	if p.SYN && !p.HasACK {
-		return b.open(now, view, route, p.Key.Hash(), p, m)
+	hash := p.Key.Hash()
+	switch {
+	case parked.search != nil:
+		return b.advance(now, view, route, hash, parked.search)
+	case p.SYN && !p.HasACK:
+		return b.open(now, view, route, hash, p, m)
 	}
-	return b.search(now, view, route, p.Key.Hash(), p, m)
+	return b.start(now, view, route, hash, p, m)
 }
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -20,6 +20,9 @@
 	unreachableTimeout = clock.Second
 	// pingInterval is the time between two pings to a silent agent.
 	pingInterval = 200 * clock.Millis(1)
+	// departedPingInterval is the time between two pings to an agent whose server has
+	// ended. Another server may start there, but then its entry is listed first.
+	departedPingInterval = 2 * clock.Second
 	// startTime is how long an agent that was just listed may take to reply to its first
 	// ping. After a loss of power, hosts start within a few hundred milliseconds of each
 	// other.
@@ -190,6 +193,10 @@
 	if view != nil && !b.Disabled.Has(AwaitAgents) {
 		b.addStarting(now, view)
 	}
+	if view != nil {
+		b.watchEvacuated(now, view)
+	}
+	b.expireSearches(now)
 	for id, state := range b.agentStates {
 		if view != nil && view.serverByAgent[id] == nil {
 			delete(b.agentStates, id)
@@ -214,10 +221,22 @@
 			state.silent = true
 			newlySilent = append(newlySilent, SilentAgent{Agent: id, Since: state.unansweredSince})
 		}
-		if now-state.lastPing >= pingInterval {
+		interval := pingInterval
+		if view != nil && b.departed(now, view, id) {
+			interval = departedPingInterval
+		}
+		if now-state.lastPing >= interval {
 			state.lastPing = now
 			ping(id)
 		}
 	}
 	return newlySilent
 }
+
+// watchEvacuated pings the agents of unlisted servers in evacuated data centres: they
+// receive no packets, so their silence would not be noticed otherwise.
+func (b *Balancer) watchEvacuated(now clock.Millis, view *View) {
+	for _, id := range view.unlistedEvacuated {
+		b.expectAnswer(now, id)
+	}
+}
--- a/pkg/steer/reason_string.go
+++ b/pkg/steer/reason_string.go
@@ -30,7 +30,7 @@
 	_ = x[StaleView-19]
 	_ = x[Suspended-20]
 	_ = x[Malformed-21]
-	_ = x[TooManyServers-22]
+	_ = x[TooManySearches-22]
 	_ = x[Queued-23]
 	_ = x[AckMismatch-24]
 	_ = x[Unreachable-25]
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -38,6 +38,7 @@
 	initial       bool         // that entry was in the first listing after this process started
 	unlistedSince clock.Millis // when its entry was removed, 0 while it is listed
 	returnExpired bool         // its entry did not return in time
+	hasDrained    bool         // an entry of this run said that it drains
 }
 
 // Target is a service that receives a share of a route's new flows.
@@ -233,7 +234,9 @@
 	}
 	if old != nil && old.StartMs == s.StartMs {
 		s.CreatedRevision = old.CreatedRevision // a restored store gives out others
+		s.hasDrained = old.hasDrained
 	}
+	s.hasDrained = s.hasDrained || s.State == Leaving
 	r.servers[s.Name] = &s
 	if old != nil && old.equivalent(s) {
 		return nil
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -1,104 +1,297 @@
 package steer
 
 import (
+	"slices"
+
 	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/flow"
 	"dogwoodlanding.example/dogwood/pkg/place"
 )
 
-// search offers a packet of an open flow to the next agent whose server may hold the
-// flow. Once all have denied it with a Certain reason, no server holds the flow and
-// the caller is sent a reset.
-func (b *Balancer) search(now clock.Millis, view *View, route *Route, hash uint64, p Packet, m *Message) Decision {
-	m.Reason = Searching
-	if m.VisitedCount == MaxVisited {
-		return Decision{Verdict: Drop, Reason: TooManyServers}
+// Limits of searches.
+const (
+	// maxSearches bounds the flows that are searched for at the same time: more than
+	// the flows that one host's callers lose in a loss of power.
+	maxSearches = 1024
+	// maxHeldPackets bounds the packets of one flow that wait for the end of its search:
+	// an acknowledgement and the first packets of a request.
+	maxHeldPackets = 4
+	// searchGrowth is the factor by which each round of a search is larger than the
+	// one before: the first agents are the most likely holders.
+	searchGrowth = 4
+)
+
+// search is the search for the holder of a flow by asking agents in rounds. First, each
+// agent looks for the flow in its own records. If none has a record and all agents could
+// be asked, the holder's agent has restarted, or there is no holder: then the agents try
+// their servers. A packet whose holder cannot be asked thus visits no other server.
+type search struct {
+	packet  Packet
+	raw     []byte
+	message Message // as received with the first denial
+	since   clock.Millis
+	later   []heldPacket // that came meanwhile
+
+	answers   map[place.ID]answer
+	pending   []place.ID // asked in this round, without an answer
+	askedAt   clock.Millis
+	roundSize int
+	trying    bool // the agents try their servers
+}
+
+// heldPacket is a packet that came while its flow was searched for.
+type heldPacket struct {
+	packet Packet
+	raw    []byte
+}
+
+// answer is what an agent has answered in a search.
+type answer uint8
+
+const (
+	hasNoRecord  answer = iota // its server may hold the flow
+	holdsNothing               // its server does not hold the flow
+)
+
+// start begins the search for the holder of p's flow: it offers the packet to the most
+// likely holder. If that denies it, Denied goes on.
+func (b *Balancer) start(now clock.Millis, view *View, route *Route, hash uint64, p Packet, m *Message) Decision {
+	if s := b.searches[p.Key]; s != nil {
+		return b.holdBack(s, p)
+	}
+	s := b.newSearch(now, p, m)
+	plan := b.planSearch(now, view, route, hash, s)
+	if len(plan.ask) == 0 || b.Disabled.Has(LimitSearch) {
+		return b.keep(s, b.advance(now, view, route, hash, s))
+	}
+	m.Reason, m.KnownOnly = Searching, true
+	return b.offer(now, view, p, m, plan.ask[0].agent, plan.ask[0].service)
+}
+
+func (b *Balancer) newSearch(now clock.Millis, p Packet, m *Message) *search {
+	since := now
+	if b.resumedSince != 0 {
+		since = b.resumedSince
+	}
+	s := &search{packet: p, message: *m, since: since, answers: make(map[place.ID]answer), roundSize: 1}
+	s.message.VisitedCount = 0
+	return s
+}
+
+// holdBack keeps a packet of a flow that is being searched for, until the search ends.
+func (b *Balancer) holdBack(s *search, p Packet) Decision {
+	known := func(h heldPacket) bool {
+		return h.packet.Seq == p.Seq && h.packet.Ack == p.Ack && h.packet.Bytes == p.Bytes
 	}
-	h := b.findHolder(now, view, route, hash, m)
-	if h.next != 0 {
-		uncertain := h.skippedEarlier || h.anyUnreachable && m.VisitedCount >= maxUncertainOffers
-		m.KnownOnly = m.KnownOnly || uncertain && !b.Disabled.Has(LimitSearch)
-		return b.offer(now, view, p, m, h.next, h.service)
+	if known(heldPacket{packet: s.packet}) || slices.ContainsFunc(s.later, known) || len(s.later) >= maxHeldPackets {
+		return Decision{Verdict: Drop, Reason: Searching}
 	}
-	if h.anyStarting {
-		return b.park(now, p, m, awaitAgents)
+	s.later = append(s.later, heldPacket{packet: p})
+	b.unkept = &s.later[len(s.later)-1].raw
+	return Decision{Verdict: Wait, Reason: Searching}
+}
+
+// denyHolder records an agent's denial in a search, and goes on with it once the round
+// is over. An agent that denies the first offer begins it.
+func (b *Balancer) denyHolder(now clock.Millis, view *View, route *Route, hash uint64, from place.ID, p Packet, m *Message) Decision {
+	s := b.searches[p.Key]
+	if s == nil {
+		if len(b.searches) >= maxSearches {
+			return Decision{Verdict: Drop, Reason: TooManySearches}
+		}
+		s = b.newSearch(now, p, m)
+		b.searches[p.Key] = s
+		s.record(from, m.Reason)
+		s.roundSize *= searchGrowth
+		return b.keep(s, b.advance(now, view, route, hash, s))
 	}
-	if h.needsUpdate {
-		return b.park(now, p, m, awaitAnswer)
+	if s.record(from, m.Reason); len(s.pending) > 0 {
+		return Decision{Verdict: Wait, Reason: Searching}
 	}
-	if h.silent != 0 {
-		return b.offer(now, view, p, m, h.silent, h.silentService)
+	s.roundSize *= searchGrowth
+	return b.advance(now, view, route, hash, s)
+}
+
+// keep makes KeepRaw store the bytes of the search's packet.
+func (b *Balancer) keep(s *search, d Decision) Decision {
+	b.unkept = &s.raw
+	return d
+}
+
+// record stores an agent's answer.
+func (s *search) record(from place.ID, reason Reason) {
+	s.pending = slices.DeleteFunc(s.pending, func(id place.ID) bool { return id == from })
+	s.answers[from] = hasNoRecord
+	if reason.Certain() {
+		s.answers[from] = holdsNothing
 	}
+}
+
+// advance takes the next step of a search: it asks more agents, waits for what it
+// cannot do without, or ends the search.
+func (b *Balancer) advance(now clock.Millis, view *View, route *Route, hash uint64, s *search) Decision {
+	plan := b.planSearch(now, view, route, hash, s)
+	limited := !b.Disabled.Has(LimitSearch)
+	p := s.packet
 	switch {
-	case p.RST || p.FIN && p.Bytes == 0 && m.VisitedCount == 0:
-		return Decision{Verdict: Drop, Reason: AllDenied}
-	case m.Inconclusive || h.anyEvacuated:
-		return Decision{Verdict: Drop, Reason: OutOfService}
+	case len(plan.ask) > 0:
+		return b.ask(now, view, s, plan.ask, limited)
+	case plan.anyStarting:
+		return b.parkSearch(now, s, awaitAgents)
+	case plan.needsUpdate:
+		return b.parkSearch(now, s, awaitAnswer)
+	case len(plan.silent) > 0:
+		return b.ask(now, view, s, plan.silent, limited)
+	case p.RST || p.FIN && p.Bytes == 0 && len(s.answers) == 0:
+		return b.end(s, Decision{Verdict: Drop, Reason: AllDenied})
+	case plan.anyEvacuated:
+		return b.end(s, Decision{Verdict: Drop, Reason: OutOfService})
 	case !b.viewConclusive(now):
-		return b.park(now, p, m, awaitFreshView)
+		return b.parkSearch(now, s, awaitFreshView)
+	case len(plan.try) > 0:
+		if !s.trying {
+			s.trying, s.roundSize = true, searchGrowth
+		}
+		return b.ask(now, view, s, plan.try, false)
 	}
 	reason := AllDenied
-	if h.anyAbandoned {
+	if plan.anyAbandoned {
 		reason = Unreachable
 	}
-	return Decision{Verdict: Refuse, Reason: reason, Service: route.service()}
+	return b.end(s, Decision{Verdict: Refuse, Reason: reason, Service: route.service()})
 }
 
-// holderSearch is the result of a pass over the agents whose servers may hold a flow.
-type holderSearch struct {
-	next           place.ID // agent to offer the packet to, 0 if none remains
-	silent         place.ID // first silent agent, 0 if none
-	service        string   // of next
-	silentService  string   // of silent
-	skippedEarlier bool     // an unreachable agent precedes next in the flow's order
-	anyUnreachable bool     // some agents are silent or their data centre is evacuated
-	anyStarting    bool     // some agents are starting
-	anyAbandoned   bool     // the flow may be reset although some agents are unreachable
-	anyEvacuated   bool     // some agents are in an evacuated data centre
-	needsUpdate    bool     // newer data of the platform may show that a silent agent is gone
+// ask offers the packet to the next agents of a round. Resume returns the offers.
+func (b *Balancer) ask(now clock.Millis, view *View, s *search, agents []holder, knownOnly bool) Decision {
+	b.searches[s.packet.Key] = s
+	s.askedAt = now
+	for _, h := range agents[:min(len(agents), s.roundSize)] {
+		m := s.message
+		m.Kind, m.Reason, m.KnownOnly, m.PacketKept = OfferPacket, Searching, knownOnly, true
+		s.pending = append(s.pending, h.agent)
+		d := b.offer(now, view, s.packet, &m, h.agent, h.service)
+		b.ready = append(b.ready, readyOffer{decision: d, packet: s.packet, message: m, raw: &s.raw, since: s.since})
+	}
+	return Decision{Verdict: Wait, Reason: Searching}
+}
+
+// end removes a search and returns the decision on its packet.
+func (b *Balancer) end(s *search, d Decision) Decision {
+	delete(b.searches, s.packet.Key)
+	return d
+}
+
+// parkSearch interrupts a search until what it waits for has come.
+func (b *Balancer) parkSearch(now clock.Millis, s *search, reason parkReason) Decision {
+	d := b.park(now, s.packet, &s.message, reason)
+	if d.Verdict != Wait {
+		return b.end(s, d)
+	}
+	parked := &b.parked[len(b.parked)-1]
+	parked.search, parked.since, b.unkept = s, s.since, nil
+	b.searches[s.packet.Key] = s
+	return d
+}
+
+// found ends the search for a flow whose holder has reported, and offers it the packets
+// that came meanwhile.
+func (b *Balancer) found(now clock.Millis, key flow.Key, owner place.ID) {
+	s := b.searches[key]
+	if s == nil {
+		return
+	}
+	b.end(s, Decision{})
+	b.parked = slices.DeleteFunc(b.parked, func(p parkedPacket) bool { return p.search == s })
+	b.forwardLater(now, s, owner)
+}
+
+// forwardLater offers the packets that came during a search to the flow's owner.
+func (b *Balancer) forwardLater(now clock.Millis, s *search, owner place.ID) {
+	view := b.Registry.View(now)
+	if view == nil || view.serverByAgent[owner] == nil {
+		return
+	}
+	for i := range s.later {
+		m := s.message
+		m.Kind, m.Reason, m.KnownOnly = OfferPacket, KnownOwner, false
+		d := b.offer(now, view, s.later[i].packet, &m, owner, view.serverByAgent[owner].Service)
+		b.ready = append(b.ready, readyOffer{decision: d, packet: s.later[i].packet, message: m, raw: &s.later[i].raw, since: now})
+	}
+}
+
+// expireSearches ends the searches whose agents have not all answered in time. The last
+// agent that has not may have delivered the packet to a server that need not answer it.
+// All others may be unreachable, and are watched.
+func (b *Balancer) expireSearches(now clock.Millis) {
+	for _, s := range b.searches {
+		if len(s.pending) == 0 || now-s.askedAt < agentAnswerTimeout {
+			continue
+		}
+		b.end(s, Decision{})
+		if s.trying && len(s.pending) == 1 {
+			b.forwardLater(now, s, s.pending[0])
+			continue
+		}
+		for _, id := range s.pending {
+			b.expectAnswer(s.askedAt, id)
+		}
+	}
 }
 
-// findHolder looks for the next agent to ask in the flow's order.
-func (b *Balancer) findHolder(now clock.Millis, view *View, route *Route, hash uint64, m *Message) holderSearch {
-	var h holderSearch
+// holder is an agent whose server may hold a flow, and the server's service.
+type holder struct {
+	agent   place.ID
+	service string
+}
+
+// searchPlan lists the agents that a search can still ask, in the flow's order.
+type searchPlan struct {
+	ask          []holder // reachable and not yet asked
+	silent       []holder // silent and not yet asked
+	try          []holder // without a record of the flow, so that their servers must be tried
+	anyStarting  bool     // some agents are starting
+	anyAbandoned bool     // the flow may be reset although some agents are unreachable
+	anyEvacuated bool     // some agents may no longer receive packets
+	needsUpdate  bool     // newer data of the platform may show that a silent agent is gone
+}
+
+// planSearch returns what remains to be done in a search.
+func (b *Balancer) planSearch(now clock.Millis, view *View, route *Route, hash uint64, s *search) searchPlan {
+	var plan searchPlan
 	abandon := b.mayAbandon(route)
 	for _, target := range route.Targets {
 		pool := view.services[target.Service]
 		if pool == nil {
 			continue
 		}
-		var ranked [MaxVisited]place.ID
-		for _, id := range ranked[:rank(pool.holders, pool.localHolders, hash, ranked[:])] {
-			b.considerHolder(now, view, id, target.Service, abandon, m, &h)
-		}
-		if h.next == 0 { // a ranking does not hold all agents of a large service
-			for _, id := range pool.holders.IDs() {
-				b.considerHolder(now, view, id, target.Service, abandon, m, &h)
+		bound := holderBound{view: view, service: target.Service}
+		for _, id := range pool.holderOrder(hash) {
+			if bound.excludes(id) && !b.Disabled.Has(BoundSearch) {
+				continue
 			}
+			b.planAgent(now, view, holder{id, target.Service}, abandon, s, &plan)
 		}
 	}
-	return h
+	return plan
 }
 
-// considerHolder adds one agent to the result of a search. With abandon, unreachable
-// agents are passed over.
-func (b *Balancer) considerHolder(now clock.Millis, view *View, id place.ID, service string, abandon bool, m *Message, h *holderSearch) {
+// planAgent adds one agent to a plan. With abandon, unreachable agents are passed over.
+func (b *Balancer) planAgent(now clock.Millis, view *View, h holder, abandon bool, s *search, plan *searchPlan) {
+	answered, asked := s.answers[h.agent]
 	switch {
-	case m.visited(id), view.holdsNoFlows(id), b.departed(now, view, id):
-	case b.evacuationEnded(now, view, id):
-		h.anyEvacuated, h.anyUnreachable = true, true
-	case b.isStarting(id):
-		h.anyStarting = true
-	case b.isSilent(id):
-		if abandon && b.unreachable(now, id) {
-			h.anyAbandoned = true
-			return
-		}
-		h.anyUnreachable = true
-		h.needsUpdate = h.needsUpdate || b.Registry.returnUndecided(now, view.serverByAgent[id])
-		if h.silent == 0 {
-			h.silent, h.silentService = id, service
-		}
-	case h.next == 0:
-		h.next, h.service, h.skippedEarlier = id, service, h.anyUnreachable
+	case asked && answered == holdsNothing, view.holdsNoFlows(h.agent), b.departed(now, view, h.agent):
+	case b.evacuationEnded(now, view, h.agent):
+		plan.anyEvacuated = true
+	case asked:
+		plan.try = append(plan.try, h)
+	case b.isStarting(h.agent):
+		plan.anyStarting = true
+	case !b.isSilent(h.agent):
+		plan.ask = append(plan.ask, h)
+	case abandon && b.unreachable(now, h.agent):
+		plan.anyAbandoned = true
+	default:
+		plan.needsUpdate = plan.needsUpdate || b.Registry.returnUndecided(now, view.serverByAgent[h.agent])
+		plan.silent = append(plan.silent, h)
 	}
 }
--- a/pkg/steer/search_test.go
+++ b/pkg/steer/search_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/place"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"gotest.tools/v3/assert"
@@ -89,3 +90,139 @@
 	assert.Assert(t, !b.Starting())
 	assert.Assert(t, b.Ready(c.now+500))
 }
+
+// The users count three packets of a flow at wrong servers within two seconds, and none
+// at its own, as misrouted. Callers with a time limit of four seconds repeat a packet five
+// times in that time, through any balancer, while servers are replaced.
+func TestUnaskableHolderKeepsPacketFromStrangers(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		hide func(c *cluster, owner *host)
+	}{
+		{"evacuated", func(c *cluster, owner *host) {
+			c.apply(steer.Change{DataCentreName: owner.centre, OutOfService: true, Revision: 1 << 40})
+			c.now += 5001
+		}},
+		{"silent", func(c *cluster, owner *host) {
+			owner.unreachable = true
+			for _, b := range c.balancers {
+				for port := 5000; port < 5400; port++ {
+					c.send(b, steer.Packet{Key: key(port), SYN: true})
+				}
+				b.Tick(c.now+150, func(agentID) {})
+			}
+		}},
+		{"cut off, and not yet noticed", func(c *cluster, owner *host) { owner.unreachable = true }},
+		{"starting", func(c *cluster, owner *host) {
+			owner.unreachable = true
+			for i := range c.balancers {
+				b, _ := c.start()
+				for _, h := range c.others(owner) {
+					b.HandleMessage(c.now, c.agentOf(h), &steer.Message{Kind: steer.Pong})
+				}
+				c.balancers[i] = b
+			}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := newCluster(t, 30, 5)
+			owner := c.openAtThirdChoice(c.balancers[0], 1000)
+			p := dataPacket(1000, owner.server)
+			for _, h := range c.others(owner) {
+				h.restartAgent() // so that only the servers know
+			}
+			row.hide(c, owner)
+			c.forgetReturned()
+			for i, wait := range []clock.Millis{0, 200, 400, 800, 1600} {
+				c.now += wait
+				id, entry := c.addHost("late" + string(rune('a'+i)))
+				entry.CreatedRevision = entry.Revision
+				c.apply(steer.Change{Server: entry}, steer.Change{Removed: c.others(owner)[0].name})
+				c.hosts[id].restartAgent()
+				b := c.balancers[i]
+				b.Tick(c.now, func(agentID) {})
+				c.send(b, p)
+			}
+			assert.Equal(t, c.misdelivered(), 0)
+			assert.Equal(t, len(c.resets), 0)
+		})
+	}
+}
+
+// The reset of a flow names the data that its caller expects, which is in the packet that
+// the balancer has kept.
+func TestResetAnswersKeptPacket(t *testing.T) {
+	c := newCluster(t, 9, 1)
+	p := dataPacket(1000, newServer(77))
+	c.send(c.balancers[0], p)
+	assert.Equal(t, len(c.resets), 1)
+	assert.Equal(t, c.lastReset, p)
+}
+
+// A caller's acknowledgement and its request come one right after the other. The request
+// must not be lost because the acknowledgement is still being searched for.
+func TestPacketsThatComeDuringSearchFollowIt(t *testing.T) {
+	c := newCluster(t, 9, 2)
+	owner := c.openAtThirdChoice(c.balancers[0], 1000)
+	for _, h := range c.hosts {
+		h.restartAgent()
+	}
+	b := c.balancers[1]
+	ack := dataPacket(1000, owner.server)
+	ack.Bytes = 0
+	var m steer.Message
+	d := b.FromCaller(c.now, ack, &m)
+	first := c.hosts[d.To]
+	first.agent.FromBalancer(c.now, c.balancerAddr(b), &m, ack)
+	d = b.Denied(c.now, d.To, ack, &m)
+	assert.Equal(t, d, steer.Decision{Verdict: steer.Wait, Reason: steer.Searching})
+	b.KeepRaw([]byte("ack"))
+	d = b.FromCaller(c.now, dataPacket(1000, owner.server), &m)
+	assert.Equal(t, d, steer.Decision{Verdict: steer.Wait, Reason: steer.Searching})
+	b.KeepRaw([]byte("request"))
+	b.HandleMessage(c.now, c.agentOf(owner), &steer.Message{Kind: steer.HoldFlow, Key: key(1000)})
+	var forwarded []string
+	for {
+		r, ok := b.Resume(c.now)
+		if !ok {
+			break
+		}
+		if r.Decision.To == c.agentOf(owner) && r.Decision.Reason == steer.KnownOwner {
+			forwarded = append(forwarded, string(r.Raw))
+		}
+	}
+	assert.DeepEqual(t, forwarded, []string{"request"})
+}
+
+// A host that goes while its data centre is evacuated gets no packets any more. Flows
+// that it might hold are reset as soon as its silence shows that it is gone.
+func TestGoneHostOfEvacuatedDataCentreHidesNoFlow(t *testing.T) {
+	c := newCluster(t, 9, 1)
+	b := c.balancers[0]
+	gone := c.someHost()
+	c.apply(steer.Change{DataCentreName: gone.centre, OutOfService: true, Revision: 1 << 40})
+	c.now += 6000
+	for _, h := range c.hosts {
+		if h.centre == gone.centre {
+			h.unreachable = true
+			c.apply(steer.Change{Server: c.entry(c.agentOf(h), steer.Leaving)}, steer.Change{Removed: h.name})
+		}
+	}
+	c.send(b, dataPacket(1000, newServer(77)))
+	assert.Equal(t, len(c.resets), 0, "the hosts may still hold it")
+	pings := 0
+	for range 40 {
+		c.now += 100
+		c.apply()
+		b.Tick(c.now, func(id agentID) {
+			if c.hosts[id].unreachable {
+				pings++
+			} else {
+				b.HandleMessage(c.now, id, &steer.Message{Kind: steer.Pong})
+			}
+		})
+	}
+	c.send(b, dataPacket(1000, newServer(77)))
+	assert.Equal(t, len(c.resets), 1)
+	assert.Assert(t, pings < 3*15, "%d pings to three hosts that are gone", pings)
+}
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -94,8 +94,8 @@
 	// The packet or message could not be decoded, or the server returned a packet of a
 	// flow that the agent has no balancer for.
 	Malformed
-	// The service has more servers than one packet can be offered to.
-	TooManyServers // TooMany
+	// The balancer searches for the holders of too many other flows.
+	TooManySearches // TooMany
 	// The SYN waits for a free slot.
 	Queued
 	// The packet acknowledges a sequence number of another server.
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -19,16 +19,23 @@
 	services      map[string]*pool
 	serverByAgent map[place.ID]*Server
 	evacuated     map[string]evacuation // by data centre
-	validUntil    clock.Millis          // the view must be rebuilt then, even without a change
+	acceptsSince  map[holder]uint64     // revisions, as set by recordAccepting
+	passedOver    map[place.ID]bool     // agents that take no new flows yet, or whose data centre is out of service
+	// unlistedEvacuated has the agents of unlisted servers in evacuated data centres.
+	unlistedEvacuated []place.ID
+	validUntil        clock.Millis // the view must be rebuilt then, even without a change
 }
 
 // pool holds the servers of one service.
 type pool struct {
-	id        ServiceID
-	coldRate  float64     // new flows a second for each cold server, 0 if not set
-	accepting place.Table // agents whose servers may take new flows
+	id       ServiceID
+	coldRate float64 // new flows a second for each cold server, 0 if not set
+	// accepting has the agents whose servers may take new flows, including those in
+	// View.passedOver.
+	accepting place.Table
 	holders   place.Table // agents whose servers may hold flows
 	// localAccepting and localHolders are the part of them in the balancer's data centre.
+	// localAccepting lacks those in View.passedOver.
 	localAccepting, localHolders place.Table
 }
 
@@ -56,7 +63,7 @@
 	v := &View{
 		Version: r.config.Version, validUntil: never, evacuated: maps.Clone(r.evacuated),
 		routes: make(map[netip.AddrPort]*Route, len(r.config.Routes)), services: make(map[string]*pool),
-		serverByAgent: make(map[place.ID]*Server),
+		serverByAgent: make(map[place.ID]*Server), acceptsSince: make(map[holder]uint64), passedOver: make(map[place.ID]bool),
 	}
 	for i := range r.config.Routes {
 		route := &r.config.Routes[i]
@@ -70,6 +77,7 @@
 	local := func(s *Server) bool { return s.DataCentre == r.DataCentre && !r.Disabled.Has(PreferLocal) }
 	servers := sortedByName(r.servers)
 	for _, s := range servers {
+		v.recordAccepting(s)
 		addMember(holders, s)
 		if local(s) {
 			addMember(localHolders, s)
@@ -82,16 +90,26 @@
 		if v.serverByAgent[s.Agent] != s {
 			continue // an earlier run of the server behind the same agent
 		}
+		if s.hasDrained { // the entry of an earlier run may still be listed
+			delete(v.acceptsSince, holder{s.Agent, s.Service})
+		}
 		current := *s
 		var until clock.Millis
 		current.State, until = r.stateOf(now, s)
 		v.validUntil = min(v.validUntil, until)
 		v.serverByAgent[s.Agent] = &current
-		if _, outOfService := r.evacuated[s.DataCentre]; current.State == Serving && !outOfService && r.settled(now, s) {
-			addMember(accepting, s)
-			if local(s) {
-				addMember(localAccepting, s)
-			}
+		_, outOfService := r.evacuated[s.DataCentre]
+		if current.State == Unlisted && outOfService {
+			v.unlistedEvacuated = append(v.unlistedEvacuated, s.Agent)
+		}
+		if current.State != Serving {
+			continue
+		}
+		addMember(accepting, s)
+		if outOfService || !r.settled(now, s) {
+			v.passedOver[s.Agent] = true
+		} else if local(s) {
+			addMember(localAccepting, s)
 		}
 	}
 	for name := range v.services {
