--- a/pkg/packet/packet_test.go
+++ b/pkg/packet/packet_test.go
@@ -54,3 +54,19 @@
 	fmt.Println(packet.Reverse(key))
 	// Output: 6:192.0.2.1:443->198.51.100.7:4000
 }
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte{0x45})
+	f.Add([]byte{0x60, 0, 0, 0, 0, 8, 17, 64})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var r packet.Reader
+		info, err := r.Read(raw)
+		if err != nil {
+			return
+		}
+		if reset, err := packet.Reset(info); err == nil {
+			_, err = r.Read(reset)
+			assert.NilError(t, err)
+		}
+	})
+}
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -33,3 +33,28 @@
 	fmt.Println(m.From, m.Ack.Time)
 	// Output: 7 2ms
 }
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range []wire.Message{{}} {
+		raw, err := wire.Encode(m)
+		assert.NilError(f, err)
+		f.Add(raw)
+	}
+	raw, err := wire.EncodeEnvelope(wire.Envelope{Balancer: 1, Packet: []byte("packet")})
+	assert.NilError(f, err)
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if m, err := wire.Decode(raw); err == nil {
+			if again, err := wire.Encode(m); err == nil {
+				_, err = wire.Decode(again)
+				assert.NilError(t, err)
+			}
+		}
+		if wire.IsEnvelope(raw) {
+			if e, err := wire.DecodeEnvelope(raw); err == nil {
+				_, err = wire.EncodeEnvelope(e)
+				assert.NilError(t, err)
+			}
+		}
+	})
+}
