Believe agents that started with their servers; compute a search's agents once

After a loss of power no agent has a record of a dead flow, so each asked agent was asked again and its server tried, and the balancer sorted and bounded all agents at each step of a search.

A denial says when the agent's process started. If that is not later than its server's start, as the server's entry gives it by the same host's clock, the agent has a record of each flow that the server holds, and need not try it. An agent whose server sends a packet of a flow that it has no record of claims nothing any more. The agents that may hold a flow are computed once for each view. A restarted server counts as cold until its newer entry is known, five seconds at most, for two seconds: views may be older soon.

Ruled out: an agent that has run for a flow's life knows all flows, but after a loss of power none has.

--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -17,9 +17,9 @@
 	// interval at which callers retransmit a SYN.
 	probeInterval = 200 * clock.Millis(1)
 	// assumedColdTime is how long a server that has lost its flows, and so must have
-	// restarted, counts as cold until a balancer reports its new entry: servers write
-	// their entries about every second, and balancers batch changes for up to 700 ms.
-	assumedColdTime = 2 * clock.Second
+	// restarted, counts as cold unless a balancer reports its new entry before: servers
+	// write their entries about every second, and balancers batch changes for some.
+	assumedColdTime = 5 * clock.Second
 	// backlogTime is how long after a pause or suspension of the process packets from
 	// before it may still be read from the sockets: reading a full one empty takes some
 	// milliseconds.
@@ -49,6 +49,9 @@
 type Agent struct {
 	Service ServiceID
 	Slots   int // requests that the server can run at once, 0 until a balancer reports it
+	// StartMs is when the process started, in Unix milliseconds by the host's clock. 0 means
+	// not known.
+	StartMs int64
 	// FlowLife is the longest life of a flow. 0 means DefaultFlowLife.
 	FlowLife clock.Millis
 	Disabled MechanismSet
@@ -59,16 +62,22 @@
 	Unanswered func()
 
 	startedAt clock.Millis // time of the first call
-	flows     map[flow.Key]*flowEntry
-	load      int         // requests in progress, and flows expected to send one
-	state     ServerState // as balancers report it
-	revision  uint64      // of the entry that state was read from
+	// missedFlow is set once the server has sent a packet of a flow without a record.
+	missedFlow bool
+	flows      map[flow.Key]*flowEntry
+	load       int         // requests in progress, and flows expected to send one
+	state      ServerState // as balancers report it
+	revision   uint64      // of the entry that state was read from
 	// restoreSeenAt is when a message first took back a drain in a later era of the
 	// platform's store, 0 if none does.
 	restoreSeenAt clock.Millis
 
 	coldUntil clock.Millis // end of the limit on new flows
-	coldRate  int          // new flows a second while cold, 0 for no limit
+	// assumedColdUntil is the end of the limit if no entry newer than that of revision
+	// assumedColdRevision shows how long the server is cold.
+	assumedColdUntil    clock.Millis
+	assumedColdRevision uint64
+	coldRate            int // new flows a second while cold, 0 for no limit
 	// coldOpenings is a ring of the times at which flows opened while the server was
 	// cold, coldOpeningCount the number of times ever written to it.
 	coldOpenings     [maxColdOpenings]clock.Millis
@@ -156,6 +165,9 @@
 		return
 	}
 	a.state, a.revision = m.State, m.Revision
+	if m.Revision > a.assumedColdRevision {
+		a.assumedColdUntil = 0
+	}
 	if m.Slots > 0 {
 		a.Slots = m.Slots
 	}
@@ -222,7 +234,7 @@
 	if a.unansweredSYN == 0 {
 		a.unansweredSYN = now
 	}
-	if now < a.coldUntil {
+	if a.isCold(now) {
 		a.coldOpenings[a.coldOpeningCount%maxColdOpenings] = now
 		a.coldOpeningCount++
 	}
@@ -266,10 +278,13 @@
 	return refused || a.state == Unlisted && a.firstUnanswered != 0 && now-a.firstUnanswered >= serverGoneTimeout
 }
 
+// isCold reports whether the server takes only few new flows since its start.
+func (a *Agent) isCold(now clock.Millis) bool { return now < max(a.coldUntil, a.assumedColdUntil) }
+
 // coldLimitReached reports whether one more flow would exceed the number that the cold
 // server can take in a second.
 func (a *Agent) coldLimitReached(now clock.Millis) bool {
-	if now >= a.coldUntil || a.coldRate == 0 {
+	if !a.isCold(now) || a.coldRate == 0 {
 		return false
 	}
 	within := 0
@@ -289,6 +304,9 @@
 	case e == nil && a.knowsAllFlows(now):
 		return a.deny(from, m, NotHeld)
 	case m.KnownOnly && (e == nil || e.phase == probing):
+		if !a.missedFlow {
+			m.AgentStartMs = a.StartMs
+		}
 		return a.deny(from, m, FlowUnknown)
 	case e == nil:
 		stored := *m
@@ -334,6 +352,7 @@
 		return a.packetReturned(now, p, e, m)
 	}
 	if e == nil {
+		a.missedFlow = true
 		e = &flowEntry{phase: opened, lastSeen: now}
 		a.flows[p.Key] = e
 	}
@@ -346,6 +365,7 @@
 			e.phase, e.reportHolder, e.since = opened, true, now
 		}
 	}
+	a.missedFlow = a.missedFlow || e.phase == probing
 	if e.phase == probing || e.phase == opening && p.Bytes > 0 {
 		e.phase = opened
 	}
@@ -369,7 +389,7 @@
 	if e.phase == opened && e.hasServerISN {
 		a.counts.Restarts++
 		if !a.Disabled.Has(AssumeCold) {
-			a.coldUntil = max(a.coldUntil, now+assumedColdTime)
+			a.assumedColdUntil, a.assumedColdRevision = now+assumedColdTime, a.revision
 		}
 	}
 	m.VisitedCount, m.LeastBusy, m.LeastBusyLoad, m.Inconclusive, m.LastOffer, m.PacketKept = 0, 0, 0, false, false, false
@@ -396,7 +416,7 @@
 // SetService assigns the agent to another service and resets all state of the server. It
 // keeps FlowLife, the callbacks, the counters and the effect of BeginShutdown.
 func (a *Agent) SetService(service ServiceID) {
-	*a = Agent{Service: service, FlowLife: a.FlowLife, Disabled: a.Disabled, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
+	*a = Agent{Service: service, StartMs: a.StartMs, FlowLife: a.FlowLife, Disabled: a.Disabled, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
 }
 
 // RecordSuspension records that the process was suspended. It discards the queue, and
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -50,9 +50,10 @@
 	reachesLocal bool // at least half of those in the own data centre were not
 	parked       []parkedPacket
 	searches     map[flow.Key]*search
-	ready        []readyOffer // for Resume
-	unkept       *[]byte      // where KeepRaw stores the bytes of the last packet
-	resumedSince clock.Millis // when the packet that is being resumed was parked, 0 if none is
+	ready        []readyPacket // for Resume
+	readyMessage Message       // of the last one
+	unkept       *[]byte       // where KeepRaw stores the bytes of the last packet
+	resumedSince clock.Millis  // when the packet that is being resumed was parked, 0 if none is
 	// startedAgents is the number of agents that have replied for the first time, or
 	// failed to within startTime.
 	startedAgents int
@@ -104,7 +105,7 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	m.Kind, m.Reason, m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = OfferPacket, KnownOwner, false, false, false, false, 0, 0, 0
+	m.Kind, m.Reason, m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept, m.AgentStartMs, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = OfferPacket, KnownOwner, false, false, false, false, 0, 0, 0, 0
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) && !b.Disabled.Has(OwnerCache) {
@@ -162,7 +163,7 @@
 		b.end(s, d)
 	}
 	if d.Verdict != Wait || d.Reason != Searching {
-		b.ready = append(b.ready, readyOffer{decision: d, packet: s.packet, message: s.message, raw: &s.raw, since: s.since})
+		b.ready = append(b.ready, readyPacket{packet: s.packet, raw: &s.raw, message: &s.message, since: s.since, decision: d})
 	}
 }
 
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -49,7 +49,11 @@
 	KnownOnly bool
 	// PacketKept means that the balancer has kept the packet: a denial needs only the
 	// flow's key.
-	PacketKept    bool
+	PacketKept bool
+	// AgentStartMs is, of a denial as FlowUnknown, the start of the agent's process in Unix
+	// milliseconds by its host's clock, 0 if it has missed packets of its server since. It
+	// is sent in the place of Revision, which a denial does not need.
+	AgentStartMs  int64
 	State         ServerState        // of the agent's server, in the balancer's view
 	Service       ServiceID          // that the packet is for
 	Revision      uint64             // of the server's entry in the balancer's view
@@ -78,6 +82,7 @@
 	flagInconclusive = 1 << 1
 	flagKnownOnly    = 1 << 2
 	flagPacketKept   = 1 << 3
+	flagAgentStarted = 1 << 4
 )
 
 // ErrMessage is returned for bytes that do not decode to a message.
@@ -93,6 +98,9 @@
 	b[0], b[1], b[2], b[3] = byte(m.Kind), byte(m.Reason), m.flags(), byte(m.State)
 	binary.BigEndian.PutUint32(b[4:], uint32(m.Service))
 	binary.BigEndian.PutUint64(b[8:], m.Revision)
+	if m.AgentStartMs != 0 {
+		binary.BigEndian.PutUint64(b[8:], uint64(m.AgentStartMs))
+	}
 	putClamped16(b[16:], m.ColdRate)
 	putClamped16(b[18:], int(m.ColdLeft))
 	putClamped16(b[20:], int(m.Goal))
@@ -126,6 +134,9 @@
 	if m.PacketKept {
 		f |= flagPacketKept
 	}
+	if m.AgentStartMs != 0 {
+		f |= flagAgentStarted
+	}
 	return f
 }
 
@@ -144,7 +155,10 @@
 	m.LastOffer, m.Inconclusive = b[2]&flagLastOffer != 0, b[2]&flagInconclusive != 0
 	m.KnownOnly, m.PacketKept = b[2]&flagKnownOnly != 0, b[2]&flagPacketKept != 0
 	m.Service = ServiceID(binary.BigEndian.Uint32(b[4:]))
-	m.Revision = binary.BigEndian.Uint64(b[8:])
+	m.Revision, m.AgentStartMs = binary.BigEndian.Uint64(b[8:]), 0
+	if b[2]&flagAgentStarted != 0 {
+		m.Revision, m.AgentStartMs = 0, int64(m.Revision)
+	}
 	m.ColdRate = int(binary.BigEndian.Uint16(b[16:]))
 	m.ColdLeft = clock.Millis(binary.BigEndian.Uint16(b[18:]))
 	m.Goal = clock.Millis(binary.BigEndian.Uint16(b[20:]))
--- a/pkg/steer/message_test.go
+++ b/pkg/steer/message_test.go
@@ -22,6 +22,9 @@
 			Slots: small.Draw(t, "slots"), LeastBusy: place.ID(rapid.Uint32().Draw(t, "best")), LeastBusyLoad: small.Draw(t, "bestLoad"),
 			Key: key(small.Draw(t, "port")), VisitedCount: rapid.IntRange(0, steer.MaxVisited).Draw(t, "count"),
 		}
+		if m.AgentStartMs = rapid.Int64Range(0, 1<<50).Draw(t, "start"); m.AgentStartMs != 0 {
+			m.Revision = 0 // sent in its place
+		}
 		for i := range m.Visited[:m.VisitedCount] {
 			m.Visited[i] = rapid.Uint32().Draw(t, "visited")
 		}
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -38,13 +38,18 @@
 	search        *search // that goes on with the packet, nil if it begins anew
 }
 
-// readyOffer is an offer that Resume returns next.
-type readyOffer struct {
-	decision Decision
-	packet   Packet
-	message  Message
-	raw      *[]byte
-	since    clock.Millis
+// readyPacket is a packet that Resume returns next, with a decision or the agent to offer
+// it to.
+type readyPacket struct {
+	packet     Packet
+	raw        *[]byte
+	message    *Message // of its search
+	since      clock.Millis
+	decision   Decision // if to is not set
+	to         holder
+	reason     Reason // of the offer
+	knownOnly  bool
+	packetKept bool
 }
 
 // Resumed is a packet that was parked or is being searched for, and the decision on it.
@@ -107,11 +112,8 @@
 // has waited for maxParkTime. It returns false if there is none. Call it until then. If
 // the decision is to Wait, the packet is kept.
 func (b *Balancer) Resume(now clock.Millis) (Resumed, bool) {
-	if len(b.ready) > 0 {
-		o := &b.ready[0]
-		r := Resumed{Decision: o.decision, Packet: o.packet, Message: &o.message, Raw: *o.raw, Waited: now - o.since}
-		b.ready = b.ready[1:]
-		return r, true
+	if view := b.Registry.View(now); len(b.ready) > 0 && view != nil {
+		return b.nextReady(now, view), true
 	}
 	for i, p := range b.parked {
 		ready := b.mayResume(now, p)
@@ -138,6 +140,23 @@
 	return Resumed{}, false
 }
 
+// nextReady removes and returns the first of the packets that are ready. Its message is
+// valid until the next call.
+func (b *Balancer) nextReady(now clock.Millis, view *View) Resumed {
+	next := b.ready[0]
+	if b.ready = b.ready[1:]; len(b.ready) == 0 {
+		b.ready = nil
+	}
+	m := &b.readyMessage
+	*m = *next.message
+	r := Resumed{Decision: next.decision, Packet: next.packet, Message: m, Raw: *next.raw, Waited: now - next.since}
+	if next.to != (holder{}) {
+		m.Kind, m.Reason, m.KnownOnly, m.PacketKept = OfferPacket, next.reason, next.knownOnly, next.packetKept
+		r.Decision = b.offer(now, view, next.packet, m, next.to.agent, next.to.service)
+	}
+	return r
+}
+
 // resume decides on a parked packet.
 func (b *Balancer) resume(now clock.Millis, view *View, parked parkedPacket, m *Message) Decision {
 	p := parked.packet
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -93,11 +93,11 @@
 	// flows. By then every balancer includes its agent in searches for flows:
 	// balancers batch changes for up to 700 ms, and calls take time.
 	settleTime = 1200 * clock.Millis(1)
-	// entryReturnTime is how long entries that expired during an outage of the
+	// EntryReturnTime is how long entries that expired during an outage of the
 	// platform may take to return: about two seconds. A balancer may not notice the
 	// outage, so every server whose entry is removed without draining is assumed to
 	// run for that long. If it has ended, its agent denies the packets.
-	entryReturnTime = 2100 * clock.Millis(1)
+	EntryReturnTime = 2100 * clock.Millis(1)
 	// recheckInterval is the time between two checks of a server whose entry is
 	// overdue, while the platform's data are too old to confirm that.
 	recheckInterval = 100 * clock.Millis(1)
@@ -397,7 +397,7 @@
 // returnDeadline is the time by which the entry of an unlisted server should have
 // returned.
 func (r *Registry) returnDeadline(s *Server) clock.Millis {
-	return max(s.unlistedSince, r.platformBack) + entryReturnTime
+	return max(s.unlistedSince, r.platformBack) + EntryReturnTime
 }
 
 // returnTimedOut reports whether the entry of an unlisted server did not return in
--- a/pkg/steer/restore.go
+++ b/pkg/steer/restore.go
@@ -12,7 +12,7 @@
 
 // restoreHoldTime is how long a restored store may still lack what was written since
 // the copy was made: servers and operators write it again, within about two seconds.
-const restoreHoldTime = entryReturnTime
+const restoreHoldTime = EntryReturnTime
 
 // RevisionOf returns the revision of a change: revisions order changes by the era of the
 // platform's store, which rises each time it is restored from an older copy, and then by
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -37,6 +37,9 @@
 	askedAt   clock.Millis
 	roundSize int
 	trying    bool // the agents try their servers
+	// holders are the agents whose servers may hold the flow in a view, in its order.
+	holders   []holder
+	holdersOf *View
 }
 
 // heldPacket is a packet that came while its flow was searched for.
@@ -59,13 +62,31 @@
 	if s := b.searches[p.Key]; s != nil {
 		return b.holdBack(s, p)
 	}
-	s := b.newSearch(now, p, m)
-	plan := b.planSearch(now, view, route, hash, s)
-	if len(plan.ask) == 0 || b.Disabled.Has(LimitSearch) {
+	first, ok := b.likelyHolder(now, view, route, hash)
+	if !ok || b.Disabled.Has(LimitSearch) {
+		s := b.newSearch(now, p, m)
 		return b.keep(s, b.advance(now, view, route, hash, s))
 	}
 	m.Reason, m.KnownOnly = Searching, true
-	return b.offer(now, view, p, m, plan.ask[0].agent, plan.ask[0].service)
+	return b.offer(now, view, p, m, first.agent, first.service)
+}
+
+// likelyHolder returns the first agent in a flow's order that can be asked, false if it is
+// not among the first few.
+func (b *Balancer) likelyHolder(now clock.Millis, view *View, route *Route, hash uint64) (holder, bool) {
+	for _, target := range route.Targets {
+		pool := view.services[target.Service]
+		if pool == nil {
+			continue
+		}
+		var ranked [searchGrowth]place.ID
+		for _, id := range ranked[:rank(pool.holders, pool.localHolders, hash, ranked[:])] {
+			if !view.holdsNoFlows(id) && !b.departed(now, view, id) && !b.evacuationEnded(now, view, id) && !b.isSilent(id) {
+				return holder{id, target.Service}, true
+			}
+		}
+	}
+	return holder{}, false
 }
 
 func (b *Balancer) newSearch(now clock.Millis, p Packet, m *Message) *search {
@@ -101,11 +122,11 @@
 		}
 		s = b.newSearch(now, p, m)
 		b.searches[p.Key] = s
-		s.record(from, m.Reason)
+		s.record(view, from, m)
 		s.roundSize *= searchGrowth
 		return b.keep(s, b.advance(now, view, route, hash, s))
 	}
-	if s.record(from, m.Reason); len(s.pending) > 0 {
+	if s.record(view, from, m); len(s.pending) > 0 {
 		return Decision{Verdict: Wait, Reason: Searching}
 	}
 	s.roundSize *= searchGrowth
@@ -119,14 +140,26 @@
 }
 
 // record stores an agent's answer.
-func (s *search) record(from place.ID, reason Reason) {
+func (s *search) record(view *View, from place.ID, m *Message) {
 	s.pending = slices.DeleteFunc(s.pending, func(id place.ID) bool { return id == from })
 	s.answers[from] = hasNoRecord
-	if reason.Certain() {
+	if m.Reason.Certain() || m.Reason == FlowUnknown && view.agentKnowsAllFlows(from, m.AgentStartMs) {
 		s.answers[from] = holdsNothing
 	}
 }
 
+// startTolerance is how much later than its server an agent may have started and still
+// know all flows: they start together with their host, and a process that ends is not
+// started again as fast.
+const startTolerance = 200 // milliseconds
+
+// agentKnowsAllFlows reports whether an agent that started at startMs has a record of each
+// flow that its server holds: no other process was there to open one before.
+func (v *View) agentKnowsAllFlows(id place.ID, startMs int64) bool {
+	s := v.serverByAgent[id]
+	return s != nil && startMs != 0 && s.StartMs != 0 && startMs <= s.StartMs+startTolerance
+}
+
 // advance takes the next step of a search: it asks more agents, waits for what it
 // cannot do without, or ends the search.
 func (b *Balancer) advance(now clock.Millis, view *View, route *Route, hash uint64, s *search) Decision {
@@ -135,13 +168,13 @@
 	p := s.packet
 	switch {
 	case len(plan.ask) > 0:
-		return b.ask(now, view, s, plan.ask, limited)
+		return b.ask(now, s, plan.ask, limited)
 	case plan.anyStarting:
 		return b.parkSearch(now, s, awaitAgents)
 	case plan.needsUpdate:
 		return b.parkSearch(now, s, awaitAnswer)
 	case len(plan.silent) > 0:
-		return b.ask(now, view, s, plan.silent, limited)
+		return b.ask(now, s, plan.silent, limited)
 	case p.RST || p.FIN && p.Bytes == 0 && len(s.answers) == 0:
 		return b.end(s, Decision{Verdict: Drop, Reason: AllDenied})
 	case plan.anyEvacuated:
@@ -152,7 +185,7 @@
 		if !s.trying {
 			s.trying, s.roundSize = true, searchGrowth
 		}
-		return b.ask(now, view, s, plan.try, false)
+		return b.ask(now, s, plan.try, false)
 	}
 	reason := AllDenied
 	if plan.anyAbandoned {
@@ -162,15 +195,12 @@
 }
 
 // ask offers the packet to the next agents of a round. Resume returns the offers.
-func (b *Balancer) ask(now clock.Millis, view *View, s *search, agents []holder, knownOnly bool) Decision {
+func (b *Balancer) ask(now clock.Millis, s *search, agents []holder, knownOnly bool) Decision {
 	b.searches[s.packet.Key] = s
 	s.askedAt = now
 	for _, h := range agents[:min(len(agents), s.roundSize)] {
-		m := s.message
-		m.Kind, m.Reason, m.KnownOnly, m.PacketKept = OfferPacket, Searching, knownOnly, true
 		s.pending = append(s.pending, h.agent)
-		d := b.offer(now, view, s.packet, &m, h.agent, h.service)
-		b.ready = append(b.ready, readyOffer{decision: d, packet: s.packet, message: m, raw: &s.raw, since: s.since})
+		b.ready = append(b.ready, readyPacket{packet: s.packet, raw: &s.raw, message: &s.message, since: s.since, to: h, reason: Searching, knownOnly: knownOnly, packetKept: true})
 	}
 	return Decision{Verdict: Wait, Reason: Searching}
 }
@@ -212,10 +242,8 @@
 		return
 	}
 	for i := range s.later {
-		m := s.message
-		m.Kind, m.Reason, m.KnownOnly = OfferPacket, KnownOwner, false
-		d := b.offer(now, view, s.later[i].packet, &m, owner, view.serverByAgent[owner].Service)
-		b.ready = append(b.ready, readyOffer{decision: d, packet: s.later[i].packet, message: m, raw: &s.later[i].raw, since: now})
+		b.ready = append(b.ready, readyPacket{packet: s.later[i].packet, raw: &s.later[i].raw, message: &s.message, since: now,
+			to: holder{owner, view.serverByAgent[owner].Service}, reason: KnownOwner})
 	}
 }
 
@@ -257,8 +285,20 @@
 
 // planSearch returns what remains to be done in a search.
 func (b *Balancer) planSearch(now clock.Millis, view *View, route *Route, hash uint64, s *search) searchPlan {
+	if s.holdersOf != view {
+		s.holders, s.holdersOf = b.possibleHolders(view, route, hash), view
+	}
 	var plan searchPlan
 	abandon := b.mayAbandon(route)
+	for _, h := range s.holders {
+		b.planAgent(now, view, h, abandon, s, &plan)
+	}
+	return plan
+}
+
+// possibleHolders returns the agents whose servers may hold a flow, in its order.
+func (b *Balancer) possibleHolders(view *View, route *Route, hash uint64) []holder {
+	var holders []holder
 	for _, target := range route.Targets {
 		pool := view.services[target.Service]
 		if pool == nil {
@@ -266,13 +306,12 @@
 		}
 		bound := holderBound{view: view, service: target.Service}
 		for _, id := range pool.holderOrder(hash) {
-			if bound.excludes(id) && !b.Disabled.Has(BoundSearch) {
-				continue
+			if !bound.excludes(id) || b.Disabled.Has(BoundSearch) {
+				holders = append(holders, holder{id, target.Service})
 			}
-			b.planAgent(now, view, holder{id, target.Service}, abandon, s, &plan)
 		}
 	}
-	return plan
+	return holders
 }
 
 // planAgent adds one agent to a plan. With abandon, unreachable agents are passed over.
--- a/pkg/steer/search_test.go
+++ b/pkg/steer/search_test.go
@@ -226,3 +226,54 @@
 	assert.Equal(t, len(c.resets), 1)
 	assert.Assert(t, pings < 3*15, "%d pings to three hosts that are gone", pings)
 }
+
+// An agent that started with its server, or before it, has a record of each of its flows.
+// One that started later does not, nor one whose host's clock was set back before it
+// started again, as the first packet of the server shows.
+func TestAgentThatStartedWithServerKnowsAllFlows(t *testing.T) {
+	const serverStartMs = 1_700_000_000_000
+	for _, row := range []struct {
+		name         string
+		agentStartMs int64
+		seesFlow     bool // the server has sent a packet of a flow without a record
+		tried        bool // the server must be tried
+	}{
+		{"agent first", serverStartMs - 40_000, false, false},
+		{"together", serverStartMs + 2, false, false},
+		{"agent later", serverStartMs + 1000, false, true},
+		{"not known", 0, false, true},
+		{"clock set back", serverStartMs - 500, true, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := newCluster(t, 9, 2)
+			owner := c.openAtThirdChoice(c.balancers[0], 1000)
+			c.open(c.balancers[0], 1001)
+			for id, h := range c.hosts {
+				e := c.entry(id, steer.Serving)
+				e.StartMs = serverStartMs
+				c.apply(steer.Change{Server: e})
+				h.restartAgent()
+				h.agent.StartMs = row.agentStartMs
+				if row.seesFlow {
+					h.agent.FromServer(c.now, steer.Packet{Key: key(9), HasACK: true}, &steer.Message{})
+				}
+			}
+			c.forgetReturned()
+			lost := c.sendLostTo(c.balancers[1], 1002)
+			assert.Equal(t, len(c.resets), 1)
+			assert.Equal(t, c.misdelivered() > 0, row.tried)
+			assert.Assert(t, row.tried || lost <= 9, "%d offers", lost)
+			c.resets = nil
+			found := c.send(c.balancers[1], dataPacket(1000, owner.server))
+			assert.Equal(t, found == owner, row.tried, "the agents' claim is believed")
+		})
+	}
+}
+
+// sendLostTo sends a packet of a flow that no server holds and returns how often it was
+// offered.
+func (c *cluster) sendLostTo(b *steer.Balancer, port int) int {
+	before := c.offers
+	c.send(b, dataPacket(port, newServer(77)))
+	return c.offers - before
+}
