Call the store less often while changes go on; lose no SYN or socket at a fault

Each process logged its watches: entries that servers only rewrite change nothing in the store, so they are not the cause (against what the issue supposed); releases and scaling change a few entries a second, and each of 60 balancers asked every 0.7 s while that went on.

The pause between two watches that return changes grows from 0.3 s to what the settings leave room for: DrainMs less the 2.1 s for which an entry may return, ConfigMs and EvacuateMs, each less 0.9 s, between 0.7 and 3 s. With the bounds of the small sites it stays at 0.7 s. Metrics tell the calls by kind and the age of the view. A decision that needs a fresh view still asks at once.

Ruled out: stale reads at a tenth of the price. Their age has no bound of its own, so a full call every few seconds is needed beside them, and then the longer pause alone is as cheap.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -75,6 +75,7 @@
 	a.packetPort = a.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	a.core.Service = steer.ServiceOf(a.Settings.Service)
 	a.core.FlowLife = flowLife(a.Settings.Path)
+	a.core.StartMs = int64(a.Clock.Now())
 	if a.core.Disabled, err = disabledMechanisms(a.Log, a.Settings.Path); err != nil {
 		return err
 	}
@@ -171,6 +172,7 @@
 func (a *Agent) announceShutdown() {
 	a.mu.Lock()
 	a.core.BeginShutdown()
+	a.releaseQueued(a.Clock.Now())
 	a.mu.Unlock()
 	m := steer.Message{Kind: steer.Shutdown}
 	ended, err := platform.ServerEnded(a.Settings.Server, serverCheckTimeout)
@@ -188,7 +190,7 @@
 // readBalancers handles the messages of balancers until the socket fails.
 func (a *Agent) readBalancers() {
 	var m steer.Message
-	receive(a.Log, a.packets, &a.mu, func(raw []byte, from netip.AddrPort) {
+	newReceiver(a.Log, a.packets, &a.mu, a.metricSet, func(raw []byte, from netip.AddrPort) {
 		now := a.Clock.Now()
 		rest, err := m.Decode(raw[headroom:])
 		if err != nil {
@@ -201,7 +203,7 @@
 			return
 		}
 		a.handleOffer(now, from, &m, raw, len(rest))
-	})
+	}).run()
 }
 
 // recordBalancer records a balancer that announceShutdown must notify.
@@ -320,7 +322,7 @@
 // readServer handles the packets of the server until the socket fails.
 func (a *Agent) readServer() {
 	var m steer.Message
-	receive(a.Log, a.outbound, &a.mu, func(raw []byte, _ netip.AddrPort) {
+	newReceiver(a.Log, a.outbound, &a.mu, a.metricSet, func(raw []byte, _ netip.AddrPort) {
 		now := a.Clock.Now()
 		p, ok := platform.DecodeServerPacket(raw[headroom:])
 		if !ok {
@@ -333,7 +335,7 @@
 		}
 		a.execute(now, out, p, &m, raw)
 		a.releaseQueued(now)
-	})
+	}).run()
 }
 
 // tick runs the timers.
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -39,12 +39,13 @@
 	Clock        clock.Clock
 	DroppedLines func() uint64 // returns the number of dropped log lines, may be nil
 
-	mu                sync.Mutex // guards core, limitedLog, pauses, shuttingDown and viewChangedAt
+	mu                sync.Mutex // guards core, limitedLog, pauses, shuttingDown, viewChangedAt and viewAsOf
 	core              steer.Balancer
 	limitedLog        limitedLog
 	pauses            pauseDetector
 	shuttingDown      bool
 	viewChangedAt     clock.Millis
+	viewAsOf          clock.Millis  // when the last request that the store answered was sent
 	startTimer        *time.Timer   // runs the timers early while agents start
 	relistRequests    chan struct{} // requests a listing of the store, after a suspension
 	refreshRequests   chan struct{} // requests an immediate answer of the store
@@ -56,14 +57,19 @@
 	packets           *net.UDPConn  // for packets of callers and resets to them
 	agents            *net.UDPConn  // for messages from and to agents
 	packetPort        uint16        // of callers and agents, the same as that of packets
+	resumeBuffer      []byte        // of resumeParked, with space for a message and a packet
 	stats             balancerMetrics
 }
 
 // balancerMetrics holds the metrics of a balancer.
 type balancerMetrics struct {
-	set           *metrics.Set
-	decisions     map[string]*metrics.Counter // by decisionText
-	storeCalls    *metrics.Counter
+	set       *metrics.Set
+	decisions map[string]*metrics.Counter // by decisionText
+	// Calls of the store by kind: listings, watches that wait for changes, and those that
+	// return at once since a decision needs a fresh view.
+	storeLists, storeWatches, storeRefreshes *metrics.Counter
+	// viewAge is how old the view was when a newer answer of the store replaced it.
+	viewAge       *metrics.Histogram
 	storeFailures *metrics.Counter
 	storeRestores *metrics.Counter
 	listTime      *metrics.Histogram
@@ -89,16 +95,20 @@
 	b.core.Registry.DataCentre = b.Settings.Path.DataCentre
 	b.core.EvacuationGracePeriod = clock.Millis(b.Settings.EvacuateMs)
 	b.limitedLog = newLimitedLog(b.Log)
+	b.resumeBuffer = make([]byte, headroom+maxPacketBytes)
 	b.startTimer = time.NewTimer(tickInterval)
 	b.relistRequests, b.refreshRequests, b.firstListing = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	set := metrics.NewSet()
 	registerDroppedLines(set, b.DroppedLines)
 	b.stats = balancerMetrics{
 		set: set, decisions: make(map[string]*metrics.Counter),
-		storeCalls:    set.NewCounter("dogwood_store_calls_total"),
-		storeFailures: set.NewCounter("dogwood_store_failures_total"),
-		storeRestores: set.NewCounter("dogwood_store_restores_total"),
-		listTime:      set.NewHistogram("dogwood_store_list_seconds"),
+		storeLists:     set.NewCounter(`dogwood_store_calls_total{kind="List"}`),
+		storeWatches:   set.NewCounter(`dogwood_store_calls_total{kind="Watch"}`),
+		storeRefreshes: set.NewCounter(`dogwood_store_calls_total{kind="Refresh"}`),
+		viewAge:        set.NewHistogram("dogwood_view_age_seconds"),
+		storeFailures:  set.NewCounter("dogwood_store_failures_total"),
+		storeRestores:  set.NewCounter("dogwood_store_restores_total"),
+		listTime:       set.NewHistogram("dogwood_store_list_seconds"),
 	}
 	b.stats.serviceLevel = serviceLevel{set: set, clock: b.Clock, dataCentre: b.Settings.Path.DataCentre}
 	return nil
@@ -175,7 +185,7 @@
 // readCallers handles the packets of callers until the socket fails.
 func (b *Balancer) readCallers() {
 	var m steer.Message
-	receive(b.Log, b.packets, &b.mu, func(raw []byte, from netip.AddrPort) {
+	newReceiver(b.Log, b.packets, &b.mu, b.stats.set, func(raw []byte, from netip.AddrPort) {
 		now := b.Clock.Now()
 		p, ok := platform.DecodeCallerPacket(raw[headroom:])
 		if !ok {
@@ -192,13 +202,13 @@
 		if d.Verdict == steer.Wait {
 			b.resumeParked(now)
 		}
-	})
+	}).run()
 }
 
 // readAgents handles the messages of agents until the socket fails.
 func (b *Balancer) readAgents() {
 	var m steer.Message
-	receive(b.Log, b.agents, &b.mu, func(raw []byte, from netip.AddrPort) {
+	newReceiver(b.Log, b.agents, &b.mu, b.stats.set, func(raw []byte, from netip.AddrPort) {
 		now, agent := b.Clock.Now(), steer.AgentOf(from.Addr())
 		rest, err := m.Decode(raw[headroom:])
 		switch {
@@ -212,7 +222,7 @@
 			b.Log.Info("agent regained", "agent", from.Addr())
 		}
 		b.resumeParked(now)
-	})
+	}).run()
 }
 
 // handleDenial decides on a packet that an agent has denied, the last packetLength
@@ -308,7 +318,7 @@
 			b.limitedLog.info(now, "resumed", "flow", r.Packet.Key, "decision", decisionText(r.Decision.Verdict, r.Decision.Reason),
 				"to", steer.AddrOf(r.Decision.To), "waited", r.Waited, "viewAge", now-b.viewChangedAt)
 		}
-		raw := append(make([]byte, headroom, headroom+len(r.Raw)), r.Raw...)
+		raw := append(b.resumeBuffer[:headroom], r.Raw...)
 		b.execute(r.Decision, r.Packet, r.Message, raw)
 	}
 }
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/netip"
 	"reflect"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -41,6 +42,10 @@
 // tickInterval is the time between two runs of a balancer's timers.
 const tickInterval = 100 * time.Millisecond
 
+// readRetryPause is the pause after a socket failed to be read, so that a lasting error
+// takes little processor time.
+const readRetryPause = 100 * time.Millisecond
+
 // Limits of the decision log.
 const (
 	logPerSecond = 60  // lines, on average
@@ -60,27 +65,59 @@
 	return conn, conn.SetReadBuffer(socketBufferBytes)
 }
 
-// headroom is the space in bytes that receive leaves in front of a datagram, so that a
+// headroom is the space in bytes that a receiver leaves in front of a datagram, so that a
 // message fits in front of a packet.
 const headroom = steer.MaxBytes
 
-// receive calls handle with the lock held for each datagram of a socket, until the
-// socket fails. The datagram begins headroom bytes into raw, and the next datagram
-// overwrites it.
-func receive(logger *log.Logger, conn *net.UDPConn, lock *sync.Mutex, handle func(raw []byte, from netip.AddrPort)) {
+// receiver reads the datagrams of a socket.
+type receiver struct {
+	log    *log.Logger
+	conn   *net.UDPConn
+	lock   *sync.Mutex // held while handle runs
+	panics *metrics.Counter
+	// handle handles a datagram, which begins headroom bytes into raw. The next one
+	// overwrites it.
+	handle func(raw []byte, from netip.AddrPort)
+}
+
+// newReceiver returns a receiver that counts panics in a set of metrics.
+func newReceiver(logger *log.Logger, conn *net.UDPConn, lock *sync.Mutex, set *metrics.Set, handle func([]byte, netip.AddrPort)) receiver {
+	return receiver{logger, conn, lock, set.GetOrCreateCounter("dogwood_panics_total"), handle}
+}
+
+// run handles datagrams until the socket is closed. After any other error it reads on: a
+// process that stops reading would go on to report that it is ready.
+func (r receiver) run() {
 	buffer := make([]byte, headroom+steer.MaxBytes+maxPacketBytes)
 	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer[headroom:])
-		if err != nil {
-			logger.Error("read packets", "socket", conn.LocalAddr(), "err", err)
+		n, from, err := r.conn.ReadFromUDPAddrPort(buffer[headroom:])
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			r.log.Error("socket closed", "socket", r.conn.LocalAddr())
 			return
+		case err != nil:
+			r.log.Error("read packets", "socket", r.conn.LocalAddr(), "err", err)
+			time.Sleep(readRetryPause)
+		default:
+			r.contain(buffer[:headroom+n], from)
 		}
-		lock.Lock()
-		handle(buffer[:headroom+n], from)
-		lock.Unlock()
 	}
 }
 
+// contain handles one datagram. A panic costs only that datagram: the same one may reach
+// every host, and would otherwise end all processes in turn.
+func (r receiver) contain(raw []byte, from netip.AddrPort) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.panics.Inc()
+			r.log.Error("panic while a datagram was handled", "socket", r.conn.LocalAddr(), "from", from, "bytes", len(raw)-headroom, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	r.handle(raw, from)
+}
+
 // runEvery calls run with the lock held, once in each interval and when early fires,
 // until ctx is cancelled.
 func runEvery(ctx context.Context, interval time.Duration, early <-chan time.Time, lock *sync.Mutex, run func()) {
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,7 @@
 	caller                *fakes.Caller
 	routedTo              atomic.Int32 // number of the balancer that the routers choose
 	logs                  *logBuffer
+	drainMs               int // of balancers
 }
 
 // logBuffer collects the log lines of all processes.
@@ -137,7 +139,7 @@
 
 func (f *fleet) startBalancer(i int) {
 	b := &path.Balancer{Log: log.New(f.logs), Settings: setup.PathBalancer{Path: f.pathSettings("balancer", i), Store: f.storeAddr,
-		Agents: f.addr("balancer", i, agentsPort).String(), EvacuateMs: 1000}}
+		Agents: f.addr("balancer", i, agentsPort).String(), EvacuateMs: f.evacuateMs(), DrainMs: f.drainMs, ConfigMs: f.drainMs}}
 	f.run(fmt.Sprint("balancer", i), b.Run)
 	f.eventually(func() bool { return f.ready(i) }, "balancer %d is ready", i)
 }
@@ -337,3 +339,43 @@
 	}
 	assert.Assert(t, strings.Contains(f.metricsPage("balancer", 0), "dogwood_store_restores_total 1"))
 }
+
+// Changes that go on, as while the servers of a service are replaced, cost fewer calls the
+// more time there is to act on them. A first change is acted on at once.
+func TestOngoingChangesCostFewCalls(t *testing.T) {
+	for _, row := range []struct {
+		name              string
+		drainMs, maxCalls int
+	}{{"little time", 3000, 9}, {"more time", 6000, 5}} {
+		f := newFleet(t, 0, 2)
+		f.drainMs = row.drainMs
+		f.startBalancer(0)
+		time.Sleep(1500 * time.Millisecond) // the calls of the start
+		before := f.storeCalls(0)
+		for range 80 {
+			f.publish(0, "draining")
+			f.publish(0, "ready")
+			time.Sleep(50 * time.Millisecond)
+		}
+		calls := f.storeCalls(0) - before
+		assert.Assert(t, calls <= row.maxCalls, "%s: %d calls in four seconds", row.name, calls)
+		f.publish(1, "draining")
+		f.eventually(func() bool { return f.logs.contains("state=Leaving version=") }, "the balancer applies the change")
+	}
+}
+
+// evacuateMs returns the setting of balancers: short, unless drainMs is set.
+func (f *fleet) evacuateMs() int { return max(1000, f.drainMs) }
+
+// storeCalls returns how often a balancer has called the store.
+func (f *fleet) storeCalls(i int) int {
+	total := 0
+	for _, line := range strings.Split(f.metricsPage("balancer", i), "\n") {
+		if name, value, ok := strings.Cut(line, "} "); ok && strings.HasPrefix(name, "dogwood_store_calls_total") {
+			n, err := strconv.Atoi(value)
+			assert.NilError(f.t, err)
+			total += n
+		}
+	}
+	return total
+}
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -21,11 +21,16 @@
 	// view when the connection is dead.
 	maxWatchWait = 4 * time.Second
 	// minBatchPause is the pause after changes, so that changes close to each other
-	// cost one call. It grows up to maxBatchPause while changes go on, since the calls
-	// of all balancers grow with the number of changes. A balancer must act on the
-	// removal of an entry within three seconds, of which steer waits 2.1.
-	minBatchPause = 300 * time.Millisecond
-	maxBatchPause = 700 * time.Millisecond
+	// cost one call. It grows while changes go on, since the calls of all balancers grow
+	// with the number of changes: up to the pause that the settings leave room for,
+	// between maxBatchPause and longestBatchPause.
+	minBatchPause     = 300 * time.Millisecond
+	maxBatchPause     = 700 * time.Millisecond
+	longestBatchPause = 3 * time.Second
+	batchPauseGrowth  = 3
+	// batchPauseMargin is the part of the time to act on a change that remains for the
+	// call to the store, which may be slow, and for a failed one.
+	batchPauseMargin = 900 * time.Millisecond
 	// burstGap is how long a watch must have waited for changes for them to start a
 	// new burst, at which the pause begins at minBatchPause again.
 	burstGap = time.Second
@@ -89,7 +94,7 @@
 // listStore lists the store and returns its revision, 0 if that fails.
 func (b *Balancer) listStore(ctx context.Context, store *platform.Store) (uint64, error) {
 	began, requestedAt := time.Now(), b.Clock.Now()
-	b.stats.storeCalls.Inc()
+	b.stats.storeLists.Inc()
 	changes, revision, err := store.List(ctx)
 	if err != nil {
 		return 0, err
@@ -130,7 +135,11 @@
 		interrupted <- b.awaitInterruption(waiting, wait > 0)
 		cancel()
 	}()
-	b.stats.storeCalls.Inc()
+	if wait == 0 {
+		b.stats.storeRefreshes.Inc()
+	} else {
+		b.stats.storeWatches.Inc()
+	}
 	began, requestedAt := time.Now(), b.Clock.Now()
 	changes, next, err := store.Watch(waiting, revision, wait)
 	cancel()
@@ -152,7 +161,7 @@
 	b.resumeParked(now)
 	b.mu.Unlock()
 	if len(changes) > 0 {
-		b.batchPause = nextBatchPause(b.batchPause, time.Since(began))
+		b.batchPause = nextBatchPause(b.batchPause, time.Since(began), b.longestPause())
 		b.awaitBatch(ctx)
 	}
 	return next, nil
@@ -228,17 +237,32 @@
 
 // nextBatchPause returns the pause after changes, from the last pause and the time that
 // the watch has waited for the changes.
-func nextBatchPause(last, waited time.Duration) time.Duration {
+func nextBatchPause(last, waited, longest time.Duration) time.Duration {
 	if waited >= burstGap {
 		return minBatchPause
 	}
-	return min(maxBatchPause, last+minBatchPause)
+	return min(longest, max(minBatchPause, batchPauseGrowth*last))
+}
+
+// longestPause returns the longest pause after which the balancer still acts on each kind
+// of change in time. A removed entry may return for steer.EntryReturnTime.
+func (b *Balancer) longestPause() time.Duration {
+	s := b.Settings
+	if s.EvacuateMs == 0 || s.ConfigMs == 0 {
+		return maxBatchPause
+	}
+	room := min(clock.Millis(s.DrainMs)-steer.EntryReturnTime, clock.Millis(s.ConfigMs), clock.Millis(s.EvacuateMs)).Duration()
+	return min(longestBatchPause, max(maxBatchPause, room-batchPauseMargin))
 }
 
 // recordAnswer records an answer of the store to a request sent at requestedAt, and
 // returns the present time. The caller holds b.mu.
 func (b *Balancer) recordAnswer(requestedAt clock.Millis, revision uint64) clock.Millis {
 	now := b.Clock.Now()
+	if b.viewAsOf != 0 {
+		b.stats.viewAge.Update((now - b.viewAsOf).Duration().Seconds())
+	}
+	b.viewAsOf = requestedAt
 	if b.core.Registry.RecordPlatformAnswer(now, requestedAt) {
 		b.Log.Info("store regained", "revision", revision)
 	}
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -24,7 +24,10 @@
 	// EvacuateMs is how long servers of a data centre that was taken out of service
 	// still receive packets of their flows; 0 means without limit.
 	EvacuateMs int
-	CacheFlows int // capacity of the cache of flow owners, in flows; 0 means the default
+	// DrainMs and ConfigMs are the times within which the balancer must act on a server
+	// that drains or is gone, and on another configuration; 0 means as soon as possible.
+	DrainMs, ConfigMs int
+	CacheFlows        int // capacity of the cache of flow owners, in flows; 0 means the default
 }
 
 // PathAgent is the settings file of an agent of internal/path.
@@ -42,6 +45,8 @@
 		c.checkAddrPort("Store", s.Store)
 		c.checkAddrPort("Agents", s.Agents)
 		c.checkNotNegative("EvacuateMs", s.EvacuateMs)
+		c.checkNotNegative("DrainMs", s.DrainMs)
+		c.checkNotNegative("ConfigMs", s.ConfigMs)
 		c.checkNotNegative("CacheFlows", s.CacheFlows)
 	})
 }
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -37,8 +37,8 @@
 }
 
 func TestPathErrorsAreReportedTogether(t *testing.T) {
-	_, err := setup.ReadPathBalancer(writeSettings(t, `{"Path": {"Host": "x", "FlowLifeS": -1, "Disabled": ["Magic"]}, "EvacuateMs": -1}`))
-	for _, position := range []string{"Path.Name", "Path.Host", "Path.Packets", "Store", "Agents", "EvacuateMs", "Path.FlowLifeS", "Path.Disabled"} {
+	_, err := setup.ReadPathBalancer(writeSettings(t, `{"Path": {"Host": "x", "FlowLifeS": -1, "Disabled": ["Magic"]}, "EvacuateMs": -1, "DrainMs": -1, "ConfigMs": -1}`))
+	for _, position := range []string{"Path.Name", "Path.Host", "Path.Packets", "Store", "Agents", "EvacuateMs", "DrainMs", "ConfigMs", "Path.FlowLifeS", "Path.Disabled"} {
 		assert.ErrorContains(t, err, position)
 	}
 	_, err = setup.ReadPathBalancer("/nowhere")
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -427,5 +427,6 @@
 	a.queue = queue{}
 }
 
-// BeginShutdown denies all new flows from now on, since the process is about to end.
+// BeginShutdown denies all new flows from now on, since the process is about to end, and
+// those that are queued when Release is called.
 func (a *Agent) BeginShutdown() { a.shuttingDown = true }
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -141,9 +141,14 @@
 
 // Release removes and returns the next SYN of the queue that can be decided on. It is
 // delivered if a slot is free, and denied if it has waited for maxQueueWait or is the
-// last of a queue that takes longer than that to drain. Release returns false if there
+// last of a queue that takes longer than that to drain, or the agent shuts down. Release returns false if there
 // is none. Call it until then.
 func (a *Agent) Release(now clock.Millis) (Release, bool) {
+	if a.shuttingDown && a.queue.length() > 0 {
+		p := a.queue.take(0)
+		p.message.LastOffer, p.message.LeastBusy, p.message.VisitedCount = false, 0, 0 // the others may have a free slot by now
+		return a.release(now, p, Draining), true
+	}
 	for i, p := range a.queue.packets {
 		if now-p.enqueuedAt >= maxQueueWait {
 			return a.denyOverloaded(now, i), true
--- a/pkg/steer/queue_test.go
+++ b/pkg/steer/queue_test.go
@@ -246,3 +246,45 @@
 		assert.Equal(t, unanswered, row.unanswered, row.name)
 	}
 }
+
+// A planned stop must not lose the SYNs that wait for a slot: their callers would repeat
+// them 200 ms later at the earliest, and the last copy would be lost for good.
+func TestQueuedSYNsGoElsewhereWhenAgentShutsDown(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	b := c.balancers[0]
+	var stopping agentID
+	for port := 1000; c.queued() == 0; port++ {
+		assert.Assert(t, port < 1100, "no agent queues")
+		var m steer.Message
+		p := steer.Packet{Key: key(port), SYN: true, Seq: 1}
+		c.execute(b, b.FromCaller(c.now, p, &m), p, &m)
+	}
+	for id, h := range c.hosts {
+		if h.agent.QueueLength() > 0 {
+			stopping = id
+		} else { // they have free slots by now
+			h.restartAgent()
+		}
+	}
+	agent := c.hosts[stopping].agent
+	agent.BeginShutdown()
+	r, ok := agent.Release(c.now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Outcome.Verdict, steer.Deny)
+	d := b.Denied(c.now, stopping, r.Packet, r.Message)
+	assert.Equal(t, d.Verdict, steer.Offer)
+	assert.Assert(t, d.To != stopping)
+	accepted := c.execute(b, d, r.Packet, r.Message)
+	assert.Assert(t, accepted != nil && c.agentOf(accepted) != stopping)
+	_, ok = agent.Release(c.now)
+	assert.Assert(t, !ok)
+}
+
+// queued returns the number of SYNs that wait at all agents.
+func (c *cluster) queued() int {
+	n := 0
+	for _, h := range c.hosts {
+		n += h.agent.QueueLength()
+	}
+	return n
+}
