--- a/pkg/steer/bench_test.go
+++ b/pkg/steer/bench_test.go
@@ -57,3 +57,31 @@
 		})
 	}
 }
+
+// What a balancer does ten times a second, and at each change.
+func BenchmarkBalancerTickAndView(b *testing.B) {
+	for _, servers := range []int{136, 1000, 41000} {
+		var balancer steer.Balancer
+		listing := []steer.Change{{Config: config(1)}}
+		for i := range servers {
+			id := steer.AgentOf(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}))
+			listing = append(listing, steer.Change{Server: &steer.Server{Name: fmt.Sprint(i), Agent: id, Service: fmt.Sprint("desk", i%max(1, servers/100)), Slots: 2, Revision: 1}})
+		}
+		const now = 1_700_000_000_000
+		balancer.Registry.ApplyListing(now, listing)
+		balancer.Tick(now, func(id agentID) { balancer.HandleMessage(now, id, &steer.Message{Kind: steer.Pong}) })
+		b.Run(fmt.Sprint("tick/", servers), func(b *testing.B) {
+			for b.Loop() {
+				balancer.Tick(now, func(agentID) {})
+			}
+		})
+		b.Run(fmt.Sprint("view/", servers), func(b *testing.B) {
+			version := uint64(1)
+			for b.Loop() {
+				version++
+				balancer.Registry.Apply(now, []steer.Change{{Config: config(version)}})
+				balancer.Registry.View(now)
+			}
+		})
+	}
+}
