Take no agent's start for another's; a tick costs nothing for agents that answer

The balancer kept the message of the first denial as the template of later offers, with the start of the agent that had sent it. An agent that has restarted, and says nothing of its start since its server has shown a flow that it has no record of, sent the other's back: the balancer believed that it knew all flows, and reset one that lived (TestStartOfOneAgentIsNotTakenForAnothers failed before). Both ends clear the field now.

Agents of unlisted servers in evacuated data centres were expected to answer without being asked, so one that lived counted as lost and regained five times a second (TestAgentOfUnlistedEvacuatedServerIsNotLost failed before: 16 losses in five seconds). They are pinged once a second.

--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -147,7 +147,7 @@
 func (a *Agent) FromBalancer(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
 	a.init(now)
 	a.updateServer(now, m)
-	m.Key = p.Key
+	m.Key, m.AgentStartMs = p.Key, 0
 	if m.Service != a.Service && m.Service != ServiceOf("") {
 		return a.deny(from, m, WrongService)
 	}
@@ -396,7 +396,7 @@
 	if e.message != nil {
 		*m = *e.message
 	}
-	m.Key = p.Key
+	m.Key, m.AgentStartMs = p.Key, 0
 	a.setInLoad(e, false, now)
 	if e.message == nil {
 		e.message = &Message{}
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -45,9 +45,12 @@
 
 	owners       *flow.Cache
 	agentStates  map[place.ID]*agentState
-	needsRefresh bool // the process was suspended, and its view may be outdated
-	cutOff       bool // most listed agents were silent at the last Tick
-	reachesLocal bool // at least half of those in the own data centre were not
+	awaited      map[place.ID]*agentState // those of agents whose reply is outstanding
+	watchedView  *View                    // whose agents are in agentStates
+	reachChanged bool                     // agents have become silent or replied since the last Tick
+	needsRefresh bool                     // the process was suspended, and its view may be outdated
+	cutOff       bool                     // most listed agents were silent at the last Tick
+	reachesLocal bool                     // at least half of those in the own data centre were not
 	parked       []parkedPacket
 	searches     map[flow.Key]*search
 	ready        []readyPacket // for Resume
@@ -69,7 +72,7 @@
 		b.CacheFlows = DefaultCacheFlows
 	}
 	b.owners = flow.NewCache(b.CacheFlows)
-	b.agentStates = make(map[place.ID]*agentState)
+	b.agentStates, b.awaited = make(map[place.ID]*agentState), make(map[place.ID]*agentState)
 	b.searches = make(map[flow.Key]*search)
 }
 
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -132,6 +132,7 @@
 	if state.unansweredSince == 0 {
 		state.unansweredSince = now
 	}
+	b.awaited[id] = state
 }
 
 // recordAnswer records a message from an agent, of whatever kind. It reports whether
@@ -145,7 +146,9 @@
 	if state.starting {
 		b.startedAgents++
 	}
+	b.reachChanged = b.reachChanged || state.silent
 	*state = agentState{lastPing: state.lastPing}
+	delete(b.awaited, id)
 	return wasSilent
 }
 
@@ -155,6 +158,7 @@
 	b.expectAnswer(now, from)
 	state := b.agentStates[from]
 	state.silent, state.starting, state.shutDown, state.unansweredSince = true, false, true, now
+	b.reachChanged = true
 	if view := b.Registry.View(now); reason == ServerGone && view != nil && view.serverByAgent[from] != nil {
 		state.endedRevision = view.serverByAgent[from].Revision
 	}
@@ -163,24 +167,43 @@
 // Starting reports whether agents were just listed and have not yet replied. Call Tick
 // every startPingInterval meanwhile.
 func (b *Balancer) Starting() bool {
-	for id := range b.agentStates {
-		if b.isStarting(id) {
+	for _, state := range b.awaited {
+		if state.starting {
 			return true
 		}
 	}
 	return false
 }
 
-// addStarting adds the agents that were listed since the last call. They count as silent
-// until they reply, so that no packet is lost at a host that has not yet started.
-func (b *Balancer) addStarting(now clock.Millis, view *View) {
+// watch follows a change of the view. Agents that were listed since the last call count as
+// silent until they reply, so that no packet is lost at a host that has not yet started.
+func (b *Balancer) watch(now clock.Millis, view *View) {
+	if view == b.watchedView {
+		return
+	}
+	b.watchedView, b.reachChanged = view, true
+	for id := range b.agentStates {
+		if view.serverByAgent[id] == nil {
+			b.forget(id)
+		}
+	}
+	if b.Disabled.Has(AwaitAgents) {
+		return
+	}
 	for id, s := range view.serverByAgent {
 		if b.agentStates[id] == nil && s.State != Unlisted {
-			b.agentStates[id] = &agentState{silent: true, starting: true, unansweredSince: now, lastPing: now - startPingInterval}
+			state := &agentState{silent: true, starting: true, unansweredSince: now, lastPing: now - startPingInterval}
+			b.agentStates[id], b.awaited[id] = state, state
 		}
 	}
 }
 
+// forget deletes what is known of an agent.
+func (b *Balancer) forget(id place.ID) {
+	delete(b.agentStates, id)
+	delete(b.awaited, id)
+}
+
 // Tick returns the agents that have become silent since the last call, and calls ping
 // for those that are due a ping. Call it several times a second.
 func (b *Balancer) Tick(now clock.Millis, ping func(place.ID)) []SilentAgent {
@@ -188,18 +211,17 @@
 	var newlySilent []SilentAgent
 	view := b.Registry.View(now)
 	if view != nil {
-		b.updateReach(view)
-	}
-	if view != nil && !b.Disabled.Has(AwaitAgents) {
-		b.addStarting(now, view)
-	}
-	if view != nil {
-		b.watchEvacuated(now, view)
+		b.watch(now, view)
+		b.watchEvacuated(now, view, ping)
+		if b.reachChanged {
+			b.updateReach(view)
+			b.reachChanged = false
+		}
 	}
 	b.expireSearches(now)
-	for id, state := range b.agentStates {
+	for id, state := range b.awaited {
 		if view != nil && view.serverByAgent[id] == nil {
-			delete(b.agentStates, id)
+			b.forget(id) // it answers for no listed server
 			continue
 		}
 		if state.starting && now-state.unansweredSince < startTime {
@@ -212,6 +234,7 @@
 		if state.starting {
 			state.starting = false
 			b.startedAgents++
+			b.reachChanged = true
 			newlySilent = append(newlySilent, SilentAgent{Agent: id, Since: state.unansweredSince})
 		}
 		if state.unansweredSince == 0 || now-state.unansweredSince < agentAnswerTimeout {
@@ -219,6 +242,7 @@
 		}
 		if !state.silent {
 			state.silent = true
+			b.reachChanged = true
 			newlySilent = append(newlySilent, SilentAgent{Agent: id, Since: state.unansweredSince})
 		}
 		interval := pingInterval
@@ -235,8 +259,13 @@
 
 // watchEvacuated pings the agents of unlisted servers in evacuated data centres: they
 // receive no packets, so their silence would not be noticed otherwise.
-func (b *Balancer) watchEvacuated(now clock.Millis, view *View) {
+func (b *Balancer) watchEvacuated(now clock.Millis, view *View, ping func(place.ID)) {
 	for _, id := range view.unlistedEvacuated {
+		if state := b.agentStates[id]; state != nil && (state.unansweredSince != 0 || now-state.lastPing < unreachableTimeout) {
+			continue
+		}
 		b.expectAnswer(now, id)
+		b.agentStates[id].lastPing = now
+		ping(id)
 	}
 }
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -95,7 +95,7 @@
 		since = b.resumedSince
 	}
 	s := &search{packet: p, message: *m, since: since, answers: make(map[place.ID]answer), roundSize: 1}
-	s.message.VisitedCount = 0
+	s.message.VisitedCount, s.message.AgentStartMs = 0, 0
 	return s
 }
 
--- a/pkg/steer/search_test.go
+++ b/pkg/steer/search_test.go
@@ -277,3 +277,45 @@
 	c.send(b, dataPacket(port, newServer(77)))
 	return c.offers - before
 }
+
+// What one agent says of its start must not pass for another's, which has restarted and
+// says nothing since its server has shown that.
+func TestStartOfOneAgentIsNotTakenForAnothers(t *testing.T) {
+	const serverStartMs = 1_700_000_000_000
+	c := newCluster(t, 9, 2)
+	owner := c.openAtThirdChoice(c.balancers[0], 1000)
+	c.open(c.balancers[0], 1001)
+	for id, h := range c.hosts {
+		e := c.entry(id, steer.Serving)
+		e.StartMs = serverStartMs
+		c.apply(steer.Change{Server: e})
+		h.restartAgent()
+		h.agent.StartMs = serverStartMs
+	}
+	owner.agent.StartMs = serverStartMs + 20_000
+	owner.agent.FromServer(c.now, steer.Packet{Key: key(9), HasACK: true}, &steer.Message{})
+	assert.Equal(t, c.send(c.balancers[1], dataPacket(1000, owner.server)), owner)
+	assert.Equal(t, len(c.resets), 0)
+}
+
+// An agent that lives beside an unlisted server of an evacuated data centre does not count
+// as lost while it answers.
+func TestAgentOfUnlistedEvacuatedServerIsNotLost(t *testing.T) {
+	c := newCluster(t, 9, 1)
+	b := c.balancers[0]
+	h := c.someHost()
+	c.tick(b, 1)
+	c.apply(steer.Change{DataCentreName: h.centre, OutOfService: true, Revision: 1 << 40},
+		steer.Change{Server: c.entry(c.agentOf(h), steer.Leaving)}, steer.Change{Removed: h.name})
+	lost, pings := 0, 0
+	for range 50 {
+		c.now += 100
+		c.apply()
+		lost += len(b.Tick(c.now, func(id agentID) {
+			pings++
+			b.HandleMessage(c.now, id, &steer.Message{Kind: steer.Pong})
+		}))
+	}
+	assert.Equal(t, lost, 0)
+	assert.Assert(t, pings <= 6, "%d pings in five seconds", pings)
+}
