End a search whose parked packet was replaced

Found by reading the diff: a SYN that waits for the same flow takes the place of the parked packet of a search. The search stayed for good: it held back the flow's later packets and counted against the limit of searches. It ends with the time for which packets are parked (TestInterruptedSearchEnds failed before). The limit is checked before the first offer, for every way in which a search begins.

--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -62,6 +62,9 @@
 	if s := b.searches[p.Key]; s != nil {
 		return b.holdBack(s, p)
 	}
+	if len(b.searches) >= maxSearches {
+		return Decision{Verdict: Drop, Reason: TooManySearches}
+	}
 	first, ok := b.likelyHolder(now, view, route, hash)
 	if !ok || b.Disabled.Has(LimitSearch) {
 		s := b.newSearch(now, p, m)
@@ -117,9 +120,6 @@
 func (b *Balancer) denyHolder(now clock.Millis, view *View, route *Route, hash uint64, from place.ID, p Packet, m *Message) Decision {
 	s := b.searches[p.Key]
 	if s == nil {
-		if len(b.searches) >= maxSearches {
-			return Decision{Verdict: Drop, Reason: TooManySearches}
-		}
 		s = b.newSearch(now, p, m)
 		b.searches[p.Key] = s
 		s.record(view, from, m)
@@ -247,12 +247,14 @@
 	}
 }
 
-// expireSearches ends the searches whose agents have not all answered in time. The last
+// expireSearches ends the searches whose agents have not all answered in time, and those
+// whose parked packet has been replaced by another one of the flow. The last
 // agent that has not may have delivered the packet to a server that need not answer it.
 // All others may be unreachable, and are watched.
 func (b *Balancer) expireSearches(now clock.Millis) {
 	for _, s := range b.searches {
-		if len(s.pending) == 0 || now-s.askedAt < agentAnswerTimeout {
+		parked := len(s.pending) == 0
+		if parked && now-s.since <= maxParkTime || !parked && now-s.askedAt < agentAnswerTimeout {
 			continue
 		}
 		b.end(s, Decision{})
--- a/pkg/steer/search_test.go
+++ b/pkg/steer/search_test.go
@@ -319,3 +319,27 @@
 	assert.Equal(t, lost, 0)
 	assert.Assert(t, pings <= 6, "%d pings in five seconds", pings)
 }
+
+// A SYN that waits takes the place of a search that waits for the same flow. The search
+// must not keep the flow's later packets from being decided on.
+func TestInterruptedSearchEnds(t *testing.T) {
+	c := newCluster(t, 6, 1)
+	b, _ := c.start() // no agent has replied yet
+	lost, syn := dataPacket(1000, newServer(77)), steer.Packet{Key: key(1000), SYN: true}
+	var m steer.Message
+	assert.Equal(t, b.FromCaller(c.now, lost, &m).Reason, steer.AgentsStarting)
+	assert.Equal(t, b.FromCaller(c.now, syn, &m).Reason, steer.AgentsStarting)
+	c.now += 500
+	c.apply()
+	for _, h := range c.hosts {
+		b.HandleMessage(c.now, c.agentOf(h), &steer.Message{Kind: steer.Pong})
+	}
+	for range 20 {
+		if _, ok := b.Resume(c.now); !ok {
+			break
+		}
+	}
+	b.Tick(c.now, func(agentID) {})
+	c.send(b, lost)
+	assert.Equal(t, len(c.resets), 1)
+}
