Leave unset settings out for processes of earlier versions

Fields that are not set are no longer written (the test failed before). Operators who set them upgrade the program before the settings.

--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -26,8 +26,10 @@
 	EvacuateMs int
 	// DrainMs and ConfigMs are the times within which the balancer must act on a server
 	// that drains or is gone, and on another configuration; 0 means as soon as possible.
-	DrainMs, ConfigMs int
-	CacheFlows        int // capacity of the cache of flow owners, in flows; 0 means the default
+	// They are left out if not set, for processes of earlier versions, which know neither.
+	DrainMs    int `json:",omitempty"`
+	ConfigMs   int `json:",omitempty"`
+	CacheFlows int // capacity of the cache of flow owners, in flows; 0 means the default
 }
 
 // PathAgent is the settings file of an agent of internal/path.
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -55,3 +55,12 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, read)
 }
+
+// Processes of earlier versions end if a settings file has fields that they do not know.
+func TestUnsetFieldsOfLaterVersionsAreNotWritten(t *testing.T) {
+	raw, err := json.Marshal(setup.PathBalancer{})
+	assert.NilError(t, err)
+	for _, field := range []string{"DrainMs", "ConfigMs", "Disabled"} {
+		assert.Assert(t, !strings.Contains(string(raw), field), "%s", raw)
+	}
+}
