--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -98,7 +98,7 @@
 		since = b.resumedSince
 	}
 	s := &search{packet: p, message: *m, since: since, answers: make(map[place.ID]answer), roundSize: 1}
-	s.message.VisitedCount, s.message.AgentStartMs = 0, 0
+	s.message.VisitedCount, s.message.AgentStartMs, s.message.PacketKept = 0, 0, false
 	return s
 }
 
@@ -248,7 +248,8 @@
 }
 
 // expireSearches ends the searches whose agents have not all answered in time, and those
-// whose parked packet has been replaced by another one of the flow. The last
+// whose parked packet has been replaced by another one of the flow. Resume returns them.
+// The last
 // agent that has not may have delivered the packet to a server that need not answer it.
 // All others may be unreachable, and are watched.
 func (b *Balancer) expireSearches(now clock.Millis) {
@@ -257,7 +258,8 @@
 		if parked && now-s.since <= maxParkTime || !parked && now-s.askedAt < agentAnswerTimeout {
 			continue
 		}
-		b.end(s, Decision{})
+		d := b.end(s, Decision{Verdict: Drop, Reason: Searching})
+		b.ready = append(b.ready, readyPacket{packet: s.packet, raw: &s.raw, message: &s.message, since: s.since, decision: d})
 		if s.trying && len(s.pending) == 1 {
 			b.forwardLater(now, s, s.pending[0])
 			continue
--- a/pkg/steer/search_test.go
+++ b/pkg/steer/search_test.go
@@ -343,3 +343,24 @@
 	c.send(b, lost)
 	assert.Equal(t, len(c.resets), 1)
 }
+
+// A search that ends since an agent did not answer is told, so that the log can explain
+// why the caller got no answer.
+func TestUnansweredSearchIsTold(t *testing.T) {
+	c := newCluster(t, 9, 1)
+	b := c.balancers[0]
+	lost := dataPacket(1000, newServer(77))
+	var m steer.Message
+	d := b.FromCaller(c.now, lost, &m)
+	c.hosts[d.To].agent.FromBalancer(c.now, c.balancerAddr(b), &m, lost)
+	b.Denied(c.now, d.To, lost, &m)
+	for _, h := range c.hosts {
+		h.unreachable = true
+	}
+	c.resume(b)
+	c.drops = nil
+	c.now += 200
+	b.Tick(c.now, func(agentID) {})
+	c.resume(b)
+	assert.DeepEqual(t, c.drops, []steer.Reason{steer.Searching})
+}
