--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -23,11 +23,11 @@
 	// minBatchPause is the pause after changes, so that changes close to each other
 	// cost one call. It grows while changes go on, since the calls of all balancers grow
 	// with the number of changes: up to the pause that the settings leave room for,
-	// between maxBatchPause and longestBatchPause.
-	minBatchPause     = 300 * time.Millisecond
-	maxBatchPause     = 700 * time.Millisecond
-	longestBatchPause = 3 * time.Second
-	batchPauseGrowth  = 3
+	// between defaultMaxBatchPause and maxBatchPause.
+	minBatchPause        = 300 * time.Millisecond
+	defaultMaxBatchPause = 700 * time.Millisecond
+	maxBatchPause        = 3 * time.Second
+	batchPauseGrowth     = 3
 	// batchPauseMargin is the part of the time to act on a change that remains for the
 	// call to the store, which may be slow, and for a failed one.
 	batchPauseMargin = 900 * time.Millisecond
@@ -249,10 +249,10 @@
 func (b *Balancer) longestPause() time.Duration {
 	s := b.Settings
 	if s.EvacuateMs == 0 || s.ConfigMs == 0 {
-		return maxBatchPause
+		return defaultMaxBatchPause
 	}
 	room := min(clock.Millis(s.DrainMs)-steer.EntryReturnTime, clock.Millis(s.ConfigMs), clock.Millis(s.EvacuateMs)).Duration()
-	return min(longestBatchPause, max(maxBatchPause, room-batchPauseMargin))
+	return min(maxBatchPause, max(defaultMaxBatchPause, room-batchPauseMargin))
 }
 
 // recordAnswer records an answer of the store to a request sent at requestedAt, and
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -108,7 +108,9 @@
 	if route == nil {
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
-	m.Kind, m.Reason, m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept, m.AgentStartMs, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = OfferPacket, KnownOwner, false, false, false, false, 0, 0, 0, 0
+	m.Kind, m.Reason = OfferPacket, KnownOwner
+	m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept = false, false, false, false
+	m.AgentStartMs, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = 0, 0, 0, 0
 	m.Goal, m.Priority = route.Goal, route.Priority
 	hash := p.Key.Hash()
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) && !b.Disabled.Has(OwnerCache) {
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -140,9 +140,9 @@
 func (a *Agent) QueueLength() int { return a.queue.length() }
 
 // Release removes and returns the next SYN of the queue that can be decided on. It is
-// delivered if a slot is free, and denied if it has waited for maxQueueWait or is the
-// last of a queue that takes longer than that to drain, or the agent shuts down. Release returns false if there
-// is none. Call it until then.
+// delivered if a slot is free. It is denied if it has waited for maxQueueWait, is the last
+// of a queue that takes longer than that to drain, or the agent shuts down. Release
+// returns false if there is none. Call it until then.
 func (a *Agent) Release(now clock.Millis) (Release, bool) {
 	if a.shuttingDown && a.queue.length() > 0 {
 		p := a.queue.take(0)
