Carry time limits and agents' reports in messages

Decisions under load need the time that callers wait, the service time that is usual in a service, and what an agent knows of its server. Offers carry the first two in the two bytes that were reserved; denials, HoldFlow and Pong carry the utilization and the mean time to the first byte in the place of the cold server's limits, which they do not need. A flag tells them apart. Nothing reads the fields yet, and Utilization is still 0.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -306,12 +306,16 @@
 
 // sendHoldFlow notifies a balancer that this agent holds the flow of p.
 func (a *Agent) sendHoldFlow(to netip.AddrPort, p steer.Packet) {
-	a.sendMessage(to, steer.Message{Kind: steer.HoldFlow, Key: p.Key, Load: a.core.Load(), Slots: a.core.Slots})
+	m := steer.Message{Kind: steer.HoldFlow, Key: p.Key, Load: a.core.Load(), Slots: a.core.Slots}
+	a.core.Report(&m)
+	a.sendMessage(to, m)
 }
 
 // sendPong replies to a Ping.
 func (a *Agent) sendPong(to netip.AddrPort) {
-	a.sendMessage(to, steer.Message{Kind: steer.Pong, Load: a.core.Load(), Slots: a.core.Slots})
+	m := steer.Message{Kind: steer.Pong, Load: a.core.Load(), Slots: a.core.Slots}
+	a.core.Report(&m)
+	a.sendMessage(to, m)
 }
 
 // sendMessage sends a message without a packet to a balancer.
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -195,9 +195,15 @@
 func (a *Agent) deny(to netip.AddrPort, m *Message, reason Reason) Outcome {
 	a.counts.Denied++
 	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.Load(), a.Slots
+	a.Report(m)
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
 
+// Report fills in what a message tells balancers of the server.
+func (a *Agent) Report(m *Message) {
+	m.HasReport, m.Utilization, m.ServiceTime = true, 0, clock.Millis(a.meanServiceTime)
+}
+
 // synPacket decides on the SYN of a flow.
 func (a *Agent) synPacket(now clock.Millis, from netip.AddrPort, m *Message, p Packet, e *flowEntry) Outcome {
 	if e != nil && e.phase != returned && e.phase != ended && e.phase != probing {
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -111,7 +111,7 @@
 	m.Kind, m.Reason = OfferPacket, KnownOwner
 	m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept = false, false, false, false
 	m.AgentStartMs, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = 0, 0, 0, 0
-	m.Goal, m.Priority = route.Goal, route.Priority
+	m.Goal, m.Priority, m.TimeLimit, m.TypicalTime, m.HasReport = route.Goal, route.Priority, route.TimeLimit, 0, false
 	hash := p.Key.Hash()
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) && !b.Disabled.Has(OwnerCache) {
 		switch {
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -53,14 +53,26 @@
 	// AgentStartMs is, of a denial as FlowUnknown, the start of the agent's process in Unix
 	// milliseconds by its host's clock, 0 if it has missed packets of its server since. It
 	// is sent in the place of Revision, which a denial does not need.
-	AgentStartMs  int64
-	State         ServerState        // of the agent's server, in the balancer's view
-	Service       ServiceID          // that the packet is for
-	Revision      uint64             // of the server's entry in the balancer's view
-	ColdRate      int                // new flows a second while the server is cold, 0 if not set
-	ColdLeft      clock.Millis       // how long it stays cold, 0 if it is warm
-	Goal          clock.Millis       // response-time goal of the flow's request
-	Priority      int                // of that request, 0 is the most urgent
+	AgentStartMs int64
+	State        ServerState  // of the agent's server, in the balancer's view
+	Service      ServiceID    // that the packet is for
+	Revision     uint64       // of the server's entry in the balancer's view
+	ColdRate     int          // new flows a second while the server is cold, 0 if not set
+	ColdLeft     clock.Millis // how long it stays cold, 0 if it is warm
+	Goal         clock.Millis // response-time goal of the flow's request
+	Priority     int          // of that request, 0 is the most urgent
+	// TimeLimit is how long the request's caller waits for the answer, in steps of
+	// timeLimitStep, 0 if not known.
+	TimeLimit clock.Millis
+	// TypicalTime is the median time to the first byte of the service's servers, in steps
+	// of typicalTimeStep, 0 if not known.
+	TypicalTime clock.Millis
+	// HasReport says that Utilization and ServiceTime are set. They are sent in the place of
+	// ColdRate and ColdLeft, which an agent's message does not need; a message to an agent
+	// has no report.
+	HasReport     bool
+	Utilization   int                // of the server: the share of its slots that was in use lately, percent
+	ServiceTime   clock.Millis       // of the server: mean time to the first byte of an answer, 0 if not known
 	Load          int                // of a DenyPacket: Agent.Load
 	Slots         int                // requests that the server can run at once
 	LeastBusy     place.ID           // least busy agent that denied the packet, 0 if none
@@ -83,6 +95,13 @@
 	flagKnownOnly    = 1 << 2
 	flagPacketKept   = 1 << 3
 	flagAgentStarted = 1 << 4
+	flagReport       = 1 << 5
+)
+
+// Units of times that are sent in one byte. Larger times are sent as 255 units.
+const (
+	timeLimitStep   = 100 * clock.Millis(1)
+	typicalTimeStep = 4 * clock.Millis(1)
 )
 
 // ErrMessage is returned for bytes that do not decode to a message.
@@ -101,8 +120,13 @@
 	if m.AgentStartMs != 0 {
 		binary.BigEndian.PutUint64(b[8:], uint64(m.AgentStartMs))
 	}
-	putClamped16(b[16:], m.ColdRate)
-	putClamped16(b[18:], int(m.ColdLeft))
+	if m.reports() {
+		putClamped16(b[16:], m.Utilization)
+		putClamped16(b[18:], int(m.ServiceTime))
+	} else {
+		putClamped16(b[16:], m.ColdRate)
+		putClamped16(b[18:], int(m.ColdLeft))
+	}
 	putClamped16(b[20:], int(m.Goal))
 	putClamped16(b[22:], m.Load)
 	putClamped16(b[24:], m.Slots)
@@ -114,12 +138,17 @@
 	binary.BigEndian.PutUint16(b[42:], m.Key.TargetPort)
 	binary.BigEndian.PutUint32(b[44:], uint32(m.VisitedCount))
 	putClamped16(b[48:], m.Priority)
-	putClamped16(b[50:], 0) // reserved
+	b[50], b[51] = clamped8(m.TypicalTime/typicalTimeStep), clamped8(m.TimeLimit/timeLimitStep)
 	for i, id := range m.Visited[:m.VisitedCount] {
 		binary.BigEndian.PutUint32(b[headerBytes+4*i:], id)
 	}
 }
 
+// reports reports whether the message is encoded with a report of its agent.
+func (m *Message) reports() bool {
+	return m.HasReport && (m.Kind == DenyPacket || m.Kind == HoldFlow || m.Kind == Pong)
+}
+
 func (m *Message) flags() byte {
 	var f byte
 	if m.LastOffer {
@@ -137,6 +166,9 @@
 	if m.AgentStartMs != 0 {
 		f |= flagAgentStarted
 	}
+	if m.reports() {
+		f |= flagReport
+	}
 	return f
 }
 
@@ -159,8 +191,15 @@
 	if b[2]&flagAgentStarted != 0 {
 		m.Revision, m.AgentStartMs = 0, int64(m.Revision)
 	}
-	m.ColdRate = int(binary.BigEndian.Uint16(b[16:]))
-	m.ColdLeft = clock.Millis(binary.BigEndian.Uint16(b[18:]))
+	m.HasReport = b[2]&flagReport != 0
+	m.ColdRate, m.ColdLeft, m.Utilization, m.ServiceTime = 0, 0, 0, 0
+	if m.HasReport {
+		m.Utilization = int(binary.BigEndian.Uint16(b[16:]))
+		m.ServiceTime = clock.Millis(binary.BigEndian.Uint16(b[18:]))
+	} else {
+		m.ColdRate = int(binary.BigEndian.Uint16(b[16:]))
+		m.ColdLeft = clock.Millis(binary.BigEndian.Uint16(b[18:]))
+	}
 	m.Goal = clock.Millis(binary.BigEndian.Uint16(b[20:]))
 	m.Load = int(binary.BigEndian.Uint16(b[22:]))
 	m.Slots = int(binary.BigEndian.Uint16(b[24:]))
@@ -169,6 +208,7 @@
 	m.Key = KeyOf(netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[32:36])), binary.BigEndian.Uint16(b[40:])),
 		netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[36:40])), binary.BigEndian.Uint16(b[42:])))
 	m.Priority = int(binary.BigEndian.Uint16(b[48:]))
+	m.TypicalTime, m.TimeLimit = clock.Millis(b[50])*typicalTimeStep, clock.Millis(b[51])*timeLimitStep
 	m.VisitedCount = int(count)
 	for i := range m.Visited[:m.VisitedCount] {
 		m.Visited[i] = binary.BigEndian.Uint32(b[headerBytes+4*i:])
@@ -199,6 +239,9 @@
 	return true
 }
 
+// clamped8 returns a number, clamped to the range of 8 bits.
+func clamped8(v clock.Millis) byte { return byte(max(0, min(v, 1<<8-1))) }
+
 // putClamped16 writes a number, clamped to the range of 16 bits.
 func putClamped16(b []byte, v int) {
 	binary.BigEndian.PutUint16(b, uint16(max(0, min(v, 1<<16-1))))
--- a/pkg/steer/message_test.go
+++ b/pkg/steer/message_test.go
@@ -22,6 +22,11 @@
 			Slots: small.Draw(t, "slots"), LeastBusy: place.ID(rapid.Uint32().Draw(t, "best")), LeastBusyLoad: small.Draw(t, "bestLoad"),
 			Key: key(small.Draw(t, "port")), VisitedCount: rapid.IntRange(0, steer.MaxVisited).Draw(t, "count"),
 		}
+		m.TypicalTime, m.TimeLimit = 4*clock.Millis(rapid.IntRange(0, 255).Draw(t, "typical")), 100*clock.Millis(rapid.IntRange(0, 255).Draw(t, "limit"))
+		if m.Kind != steer.OfferPacket && m.Kind != steer.Ping && m.Kind != steer.Shutdown && rapid.Bool().Draw(t, "report") {
+			m.HasReport, m.Utilization, m.ServiceTime = true, small.Draw(t, "used"), clock.Millis(small.Draw(t, "took"))
+			m.ColdRate, m.ColdLeft = 0, 0 // the report is sent in their place
+		}
 		if m.AgentStartMs = rapid.Int64Range(0, 1<<50).Draw(t, "start"); m.AgentStartMs != 0 {
 			m.Revision = 0 // sent in its place
 		}
@@ -38,6 +43,21 @@
 	})
 }
 
+// A denied packet is offered again with the message of its denial. If the agent's report
+// went with it, the next agent would take it for the limits of a cold server.
+func TestOfferCarriesNoReport(t *testing.T) {
+	m := steer.Message{Kind: steer.OfferPacket, HasReport: true, Utilization: 90, ServiceTime: 40, ColdRate: 5, ColdLeft: 700, TimeLimit: 26 * clock.Second}
+	encoded := make([]byte, m.Size())
+	m.Encode(encoded)
+	var got steer.Message
+	_, err := got.Decode(encoded)
+	assert.NilError(t, err)
+	assert.Assert(t, !got.HasReport)
+	assert.Equal(t, got.ColdRate, 5)
+	assert.Equal(t, got.ColdLeft, clock.Millis(700))
+	assert.Equal(t, got.TimeLimit, 25_500*clock.Millis(1)) // the largest that one byte holds
+}
+
 func FuzzMessageDecode(f *testing.F) {
 	m := steer.Message{Kind: steer.OfferPacket, VisitedCount: 2}
 	encoded := make([]byte, m.Size())
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -53,11 +53,13 @@
 
 // Route names the services that serve the flows to one address and port.
 type Route struct {
-	Name     string
-	Address  netip.AddrPort
-	Targets  []Target
-	Goal     clock.Millis // response-time goal of its requests
-	Priority int          // of its requests, 0 is the most urgent
+	Name    string
+	Address netip.AddrPort
+	Targets []Target
+	Goal    clock.Millis // response-time goal of its requests
+	// TimeLimit is how long callers wait for an answer, 0 if not known.
+	TimeLimit clock.Millis
+	Priority  int // of its requests, 0 is the most urgent
 	// Repeatable says whether callers may repeat its requests, even ones that may
 	// have run.
 	Repeatable bool
