Queue all work of a server in one order: requests of open flows and SYNs

Cause: when capacity is short only new flows wait for a slot; requests of open flows go straight to the server's queue, so the callers of new flows pay for every shortage. Change: package sched orders both by what they can still reach and by class; an agent uses it with Queue "AllWork". SYNs that cannot reach their goal are refused at once. Not yet measured with real processes.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -13,6 +13,7 @@
 	"dogwoodlanding.example/dogwood/internal/setup"
 	"dogwoodlanding.example/dogwood/pkg/burn"
 	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/sched"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform"
 	"github.com/VictoriaMetrics/metrics"
@@ -38,22 +39,24 @@
 	Clock        clock.Clock
 	DroppedLines func() uint64 // returns the number of dropped log lines, may be nil
 
-	mu           sync.Mutex // guards core, limitedLog, pauses and balancers
-	core         steer.Agent
-	limitedLog   limitedLog
-	pauses       pauseDetector
-	balancers    map[netip.AddrPort]bool // from which messages were received
-	packets      *net.UDPConn            // for messages from and to balancers
-	outbound     *net.UDPConn            // for packets of the server and to callers
-	server       *net.UDPConn            // connected to the server
-	queueTimer   *time.Timer             // runs the timers early while SYNs are queued
-	packetPort   uint16                  // of callers, the same as that of packets
-	metricSet    *metrics.Set
-	delivered    *metrics.Counter
-	toCaller     *metrics.Counter
-	answerTime   *metrics.Histogram // from a request to the first byte of its answer
-	queueTime    *metrics.Histogram // how long SYNs were queued
-	serviceLevel serviceLevel
+	mu            sync.Mutex // guards core, limitedLog, pauses and balancers
+	core          steer.Agent
+	limitedLog    limitedLog
+	pauses        pauseDetector
+	balancers     map[netip.AddrPort]bool // from which messages were received
+	packets       *net.UDPConn            // for messages from and to balancers
+	outbound      *net.UDPConn            // for packets of the server and to callers
+	server        *net.UDPConn            // connected to the server
+	queueTimer    *time.Timer             // runs the timers early while SYNs are queued
+	releaseBuffer []byte                  // of releaseQueued
+	packetPort    uint16                  // of callers, the same as that of packets
+	metricSet     *metrics.Set
+	delivered     *metrics.Counter
+	toCaller      *metrics.Counter
+	answerTime    *metrics.Histogram                // from a request to the first byte of its answer
+	queueTime     *metrics.Histogram                // how long SYNs were queued
+	heldTime      [sched.Classes]*metrics.Histogram // how long work of each class was held, with Settings.Queue
+	serviceLevel  serviceLevel
 }
 
 // init opens the sockets and sets the unexported fields.
@@ -79,9 +82,14 @@
 	if a.core.Disabled, err = disabledMechanisms(a.Log, a.Settings.Path); err != nil {
 		return err
 	}
+	a.core.AllWork = a.Settings.Queue == setup.QueueAllWork
+	if a.core.Order, err = a.Settings.Order(); err != nil {
+		return err
+	}
 	a.limitedLog = newLimitedLog(a.Log)
 	a.queueTimer = time.NewTimer(queueInterval)
 	a.balancers = make(map[netip.AddrPort]bool)
+	a.releaseBuffer = make([]byte, headroom, headroom+maxPacketBytes)
 	a.registerMetrics()
 	return nil
 }
@@ -117,6 +125,9 @@
 			return float64(read(a.core.Counts()))
 		})
 	}
+	if a.core.AllWork {
+		a.registerQueueMetrics()
+	}
 	a.metricSet.NewGauge("dogwood_agent_load", func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -124,6 +135,27 @@
 	})
 }
 
+// registerQueueMetrics creates the metrics of the queue for all work, by class.
+func (a *Agent) registerQueueMetrics() {
+	for class := range sched.Classes {
+		label := fmt.Sprintf(`class="%d"`, class)
+		a.heldTime[class] = a.metricSet.NewHistogram("dogwood_agent_held_seconds{" + label + "}")
+		gauge := func(name, labels string, read func(sched.Counts) uint64) {
+			a.metricSet.NewGauge("dogwood_agent_"+name+"_total{"+labels+"}", func() float64 {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return float64(read(a.core.HeldCounts(class)))
+			})
+		}
+		gauge("held", label, func(c sched.Counts) uint64 { return c.Held })
+		gauge("held_late", label, func(c sched.Counts) uint64 { return c.Late })
+		gauge("overtaken", label, func(c sched.Counts) uint64 { return c.Overtaken })
+		for reason := range sched.ReasonCount {
+			gauge("refused", fmt.Sprintf(`%s,reason="%v"`, label, sched.Reason(reason)), func(c sched.Counts) uint64 { return c.Refused[reason] })
+		}
+	}
+}
+
 // Run forwards packets until ctx is cancelled, and then announces the shutdown to the
 // balancers.
 func (a *Agent) Run(ctx context.Context) error {
@@ -161,7 +193,8 @@
 		a.Log.Warn("belief", "subject", "service of the server", "state", settings.Service)
 	}
 	setLogLevel(a.Log, settings.Path.LogLevel)
-	if needsStart(a.Settings.Path, settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server {
+	if needsStart(a.Settings.Path, settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server ||
+		settings.Queue != a.Settings.Queue || settings.QueueOrder != a.Settings.QueueOrder {
 		a.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
@@ -242,7 +275,7 @@
 	}
 }
 
-// releaseQueued carries out the decisions on queued SYNs that can be decided on.
+// releaseQueued carries out the decisions on queued packets that can be decided on.
 func (a *Agent) releaseQueued(now clock.Millis) {
 	for {
 		r, ok := a.core.Release(now)
@@ -250,9 +283,12 @@
 			break
 		}
 		a.queueTime.Update(r.Waited.Duration().Seconds())
+		if a.core.AllWork {
+			a.heldTime[sched.ClassOf(r.Priority)].Update(r.Waited.Duration().Seconds())
+		}
 		a.limitedLog.info(now, "waited", "flow", r.Packet.Key, "decision", decisionText(r.Outcome.Verdict, r.Outcome.Reason),
 			"waited", r.Waited, "load", a.core.Load(), "slots", a.core.Slots)
-		raw := append(make([]byte, headroom, headroom+len(r.Raw)), r.Raw...)
+		raw := append(a.releaseBuffer[:headroom], r.Raw...)
 		a.execute(now, r.Outcome, r.Packet, r.Message, raw)
 	}
 	if a.core.QueueLength() > 0 {
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -1,6 +1,9 @@
 package setup
 
-import "dogwoodlanding.example/dogwood/pkg/steer"
+import (
+	"dogwoodlanding.example/dogwood/pkg/sched"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+)
 
 // Path holds the settings that the balancers and agents of internal/path have in common.
 type Path struct {
@@ -38,6 +41,22 @@
 	Outbound string // address and UDP port that receives the server's packets
 	Server   string // address and UDP port of the server
 	Service  string // name of the server's service
+	// Queue is AllWork if requests of open flows wait in one queue with SYNs while the
+	// server is busy; empty means that only SYNs are queued.
+	Queue string `json:",omitempty"`
+	// QueueOrder names the order of that queue (package sched); empty means the first one.
+	QueueOrder string `json:",omitempty"`
+}
+
+// QueueAllWork is the value of PathAgent.Queue for one queue of all work.
+const QueueAllWork = "AllWork"
+
+// Order returns the order of the queue for all work.
+func (s PathAgent) Order() (sched.Order, error) {
+	if s.QueueOrder == "" {
+		return 0, nil
+	}
+	return sched.ParseOrder(s.QueueOrder)
 }
 
 // ReadPathBalancer reads and checks the settings file of a balancer of internal/path.
@@ -62,6 +81,12 @@
 		if s.Service == "" {
 			c.addError("Service", "must be set")
 		}
+		if s.Queue != "" && s.Queue != QueueAllWork {
+			c.addError("Queue", "%q is not a queue, want %s or none", s.Queue, QueueAllWork)
+		}
+		if _, err := s.Order(); err != nil {
+			c.addError("QueueOrder", "%v", err)
+		}
 	})
 }
 
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -5,6 +5,7 @@
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
+	"dogwoodlanding.example/dogwood/pkg/sched"
 )
 
 // Times and limits of an agent.
@@ -55,6 +56,11 @@
 	// FlowLife is the longest life of a flow. 0 means DefaultFlowLife.
 	FlowLife clock.Millis
 	Disabled MechanismSet
+	// AllWork holds requests of open flows in one queue with SYNs while the server is
+	// busy. Otherwise only SYNs are queued.
+	AllWork bool
+	// Order is that of the queue for all work.
+	Order sched.Order
 	// Answered, if set, is called for each answer with the time from the request to
 	// the answer's first byte and the response-time goal of the route, 0 if it has none.
 	Answered func(took, goal clock.Millis)
@@ -66,6 +72,7 @@
 	missedFlow bool
 	flows      map[flow.Key]*flowEntry
 	load       int         // requests in progress, and flows expected to send one
+	expected   int         // flows in load that have not sent a request
 	state      ServerState // as balancers report it
 	revision   uint64      // of the entry that state was read from
 	// restoreSeenAt is when a message first took back a drain in a later era of the
@@ -95,6 +102,7 @@
 	// first byte of its answer.
 	meanServiceTime float64
 	queue           queue
+	held            heldWork     // the queue if AllWork is set
 	discardSYNUntil clock.Millis // until then, SYNs may be from before a suspension
 	// meanRequestDelay is the moving average of the milliseconds from the server's
 	// SYN-ACK to the request.
@@ -133,7 +141,7 @@
 func (a *Agent) Counts() Counts { return a.counts }
 
 // Load returns the number of requests in progress, expected or queued.
-func (a *Agent) Load() int { return a.load + a.queue.length() }
+func (a *Agent) Load() int { return a.load + a.QueueLength() }
 
 // Flows returns the number of flows that the agent has a record of.
 func (a *Agent) Flows() int { return len(a.flows) }
@@ -213,18 +221,19 @@
 	if now < a.discardSYNUntil {
 		return Outcome{Verdict: Drop, Reason: Suspended}
 	}
-	if a.queue.has(p.Key) {
+	if a.queue.has(p.Key) || a.held.flows[p.Key] != nil {
 		return Outcome{Verdict: Drop, Reason: Queued, ReportTo: from}
 	}
 	if reason := a.denialReason(now, m); reason != NoReason {
 		return a.deny(from, m, reason)
 	}
-	if a.queue.length() > 0 || !a.hasCapacity() {
-		if a.Disabled.Has(Queue) {
+	if a.QueueLength() > 0 || !a.hasCapacity() {
+		if a.Disabled.Has(Queue) || a.AllWork && !a.held.hasRoom(p) {
 			return a.deny(from, m, Overloaded)
 		}
 		return a.enqueue(now, from, m, p)
 	}
+	a.recordProgress(now)
 	return a.open(now, from, m, p)
 }
 
@@ -234,7 +243,7 @@
 		a.deleteFlow(p.Key, e)
 	}
 	stored := *m
-	e := &flowEntry{phase: opening, balancer: from, lastSeen: now, since: now, message: &stored, goal: m.Goal}
+	e := &flowEntry{phase: opening, balancer: from, lastSeen: now, since: now, message: &stored, goal: m.Goal, priority: m.Priority, sentAt: now - p.Age}
 	a.flows[p.Key] = e
 	a.setInLoad(e, true, now)
 	if a.unansweredSYN == 0 {
@@ -329,12 +338,18 @@
 	if m.VisitedCount == 0 && e.phase == opened {
 		e.message = nil
 	}
-	e.balancer, e.lastSeen, e.goal = from, now, m.Goal
+	e.balancer, e.lastSeen, e.goal, e.priority = from, now, m.Goal, m.Priority
 	e.reportHolder = e.reportHolder || m.Reason == Searching
 	out := Outcome{Verdict: Deliver, Reason: KnownOwner}
 	if e.reportHolder && (e.phase == opened || e.phase == ended) {
 		e.reportHolder, out.ReportTo = false, from
 	}
+	if a.AllWork {
+		if out.Verdict = a.holdLater(now, from, m, p, e); out.Verdict != Deliver {
+			out.Reason = Queued
+			return out
+		}
+	}
 	a.trackCaller(now, p, e)
 	a.recordDelivery(now)
 	return out
@@ -408,6 +423,7 @@
 		e.message = &Message{}
 	}
 	e.phase, e.since, e.hasServerISN, e.finished, e.dataEnd = returned, now, false, 0, 0
+	a.held.drop(p.Key)
 	return a.deny(e.balancer, m, reason)
 }
 
@@ -422,17 +438,18 @@
 // SetService assigns the agent to another service and resets all state of the server. It
 // keeps FlowLife, the callbacks, the counters and the effect of BeginShutdown.
 func (a *Agent) SetService(service ServiceID) {
-	*a = Agent{Service: service, StartMs: a.StartMs, FlowLife: a.FlowLife, Disabled: a.Disabled, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
+	*a = Agent{Service: service, StartMs: a.StartMs, FlowLife: a.FlowLife, Disabled: a.Disabled, AllWork: a.AllWork, Order: a.Order, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
 }
 
-// RecordSuspension records that the process was suspended. It discards the queue, and
+// RecordSuspension records that the process was suspended. It discards the queued SYNs, and
 // for a short time the SYNs still in the sockets: balancers offered them by an outdated
 // view, and their callers have given up.
 func (a *Agent) RecordSuspension(now clock.Millis) {
 	a.discardSYNUntil = now + backlogTime
 	a.queue = queue{}
+	a.held.dropSYNs()
 }
 
 // BeginShutdown denies all new flows from now on, since the process is about to end, and
-// those that are queued when Release is called.
+// those that are queued when Release is called. Queued requests are delivered then.
 func (a *Agent) BeginShutdown() { a.shuttingDown = true }
--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -64,6 +64,8 @@
 	finished     uint8        // directions that have ended: callerDone, serverDone
 	message      *Message     // to send back if the server returns the packet
 	goal         clock.Millis // response-time goal of the route
+	priority     int          // of the route
+	sentAt       clock.Millis // when the caller first sent the request or the SYN before it, 0 if not known
 }
 
 // Directions of a flow whose sender has sent a FIN.
@@ -87,6 +89,9 @@
 		if !e.gotRequest && e.hasServerISN {
 			a.meanRequestDelay += (float64(now-e.since) - a.meanRequestDelay) * meanWeight
 		}
+		if !e.gotRequest && e.inLoad {
+			a.expected--
+		}
 		e.dataEnd, e.gotRequest = end, true
 		a.setInLoad(e, true, now)
 	}
@@ -112,10 +117,13 @@
 		return
 	}
 	e.inLoad = inLoad
-	if inLoad {
-		a.load++
-	} else {
-		a.load--
+	step := 1
+	if !inLoad {
+		step = -1
+	}
+	a.load += step
+	if !e.gotRequest {
+		a.expected += step
 	}
 }
 
@@ -129,6 +137,7 @@
 
 // deleteFlow deletes the record of a flow and removes it from the load.
 func (a *Agent) deleteFlow(key flow.Key, e *flowEntry) {
+	a.held.drop(key)
 	a.setInLoad(e, false, 0)
 	delete(a.flows, key)
 }
@@ -137,6 +146,7 @@
 func (a *Agent) trackServer(now clock.Millis, p Packet, e *flowEntry) {
 	if p.Bytes > 0 && e.inLoad {
 		a.recordServiceTime(now - e.since)
+		a.recordAnswer(now, e)
 		if a.Answered != nil {
 			a.Answered(now-e.since, e.goal)
 		}
@@ -145,6 +155,9 @@
 	if p.FIN {
 		e.finished |= serverDone
 	}
+	if p.RST {
+		a.held.drop(p.Key)
+	}
 	if p.RST || e.finished == callerDone|serverDone {
 		a.endFlow(now, e)
 	}
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -47,6 +47,8 @@
 	Packet  Packet
 	Raw     []byte // as given to KeepRaw
 	Waited  clock.Millis
+	// Priority is that of the request in the queue for all work.
+	Priority int
 }
 
 func (q *queue) length() int { return len(q.packets) }
@@ -114,11 +116,18 @@
 	if a.Disabled.Has(ExtraFlows) {
 		extra = 0
 	}
+	if a.held.queue.Pinned() > 0 {
+		extra = extraWithHeld
+	}
 	return a.Slots == 0 || a.load < a.Slots+extra
 }
 
 // enqueue holds a SYN until a slot is free.
 func (a *Agent) enqueue(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
+	if a.AllWork {
+		a.hold(now, from, m, p)
+		return Outcome{Verdict: Wait, Reason: Queued, ReportTo: from}
+	}
 	a.queue.disabled = a.Disabled
 	a.queue.packets = append(a.queue.packets, queuedPacket{from: from, message: *m, packet: p, enqueuedAt: now})
 	return Outcome{Verdict: Wait, Reason: Queued, ReportTo: from}
@@ -129,21 +138,26 @@
 	return clock.Millis(a.meanServiceTime * float64(a.queue.length()) / float64(max(1, a.Slots)))
 }
 
-// KeepRaw stores a copy of the bytes of the SYN that was enqueued last.
+// KeepRaw stores a copy of the bytes of the packet that was enqueued last.
 func (a *Agent) KeepRaw(raw []byte) {
+	a.held.keepRaw(raw)
 	if n := len(a.queue.packets); n > 0 {
 		a.queue.packets[n-1].raw = slices.Clone(raw)
 	}
 }
 
-// QueueLength returns the number of SYNs in the queue.
-func (a *Agent) QueueLength() int { return a.queue.length() }
+// QueueLength returns the number of SYNs and requests in the queue.
+func (a *Agent) QueueLength() int { return a.queue.length() + a.held.queue.Len() }
 
 // Release removes and returns the next SYN of the queue that can be decided on. It is
 // delivered if a slot is free. It is denied if it has waited for maxQueueWait, is the last
 // of a queue that takes longer than that to drain, or the agent shuts down. Release
-// returns false if there is none. Call it until then.
+// returns false if there is none. Call it until then. With AllWork it also returns
+// requests of open flows, which are always delivered unless the server is gone.
 func (a *Agent) Release(now clock.Millis) (Release, bool) {
+	if a.AllWork {
+		return a.releaseHeld(now)
+	}
 	if a.shuttingDown && a.queue.length() > 0 {
 		p := a.queue.take(0)
 		p.message.LastOffer, p.message.LeastBusy, p.message.VisitedCount = false, 0, 0 // the others may have a free slot by now
