--- /dev/null
+++ b/internal/path/queue_test.go
@@ -0,0 +1,70 @@
+package path_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/platform/fakes"
+	"gotest.tools/v3/assert"
+)
+
+// A held request must reach the server once and unchanged, also at a planned stop of the
+// agent, or its caller waits for an answer that nobody gives.
+func TestHeldRequestsReachServer(t *testing.T) {
+	f := newFleet(t, 0, 0)
+	f.queue, f.serviceTime = setup.QueueAllWork, 60*time.Millisecond
+	f.startServer(0)
+	f.startAgent(0)
+	f.startBalancer(0)
+	var flows []*fakes.Flow
+	for i := range 12 {
+		flow, _ := f.openFlow(fmt.Sprint("first", i))
+		flows = append(flows, flow)
+	}
+	sendAll := func(request string, timeout time.Duration) *sync.WaitGroup {
+		var wait sync.WaitGroup
+		for i, flow := range flows {
+			wait.Go(func() {
+				_, err := flow.SendRequest(fmt.Sprint(request, i), timeout)
+				assert.Check(t, err == nil || request == "last", "%s%d: %v", request, i, err)
+			})
+		}
+		return &wait
+	}
+	runs := func(request string) (n int) {
+		for i := range flows {
+			n += f.servers["s0"].Runs(fmt.Sprint(request, i))
+		}
+		return n
+	}
+	sendAll("second", 2*time.Second).Wait()
+	assert.Equal(t, runs("second"), len(flows))
+	before := f.metric("server", 0, `dogwood_agent_held_total{class="0"}`)
+	assert.Assert(t, before > 0)
+	assert.Equal(t, f.metric("server", 0, `dogwood_agent_held_seconds_count{class="0"}`), before)
+	assert.Equal(t, f.metric("server", 0, `dogwood_agent_refused_total{class="0",reason="Backlog"}`), 0)
+
+	wait := sendAll("last", 150*time.Millisecond)
+	f.eventually(func() bool { return f.metric("server", 0, `dogwood_agent_held_total{class="0"}`) > before }, "requests are held")
+	f.stop["agent0"]()
+	f.eventually(func() bool { return runs("last") == len(flows) }, "all requests run")
+	wait.Wait()
+	assert.Equal(t, f.servers["s0"].ModifiedPackets(), 0)
+}
+
+// metric returns the value of a metric with its labels.
+func (f *fleet) metric(kind string, i int, name string) int {
+	f.t.Helper()
+	page := f.metricsPage(kind, i)
+	_, rest, ok := strings.Cut(page, name+" ")
+	assert.Assert(f.t, ok, "%s", page)
+	value, _, _ := strings.Cut(rest, "\n")
+	n, err := strconv.Atoi(value)
+	assert.NilError(f.t, err)
+	return n
+}
