Count no request that the server may have lost as being at it

Cause: a request that the server loses stays in the load for 8 s, so a few of them would have held all later requests of open flows although slots were free. Change: after ten times the expected time to an answer, half a second at least, it no longer counts for the queue. The fuzz test plays agents with and without the queue.

--- a/pkg/sched/sched_test.go
+++ b/pkg/sched/sched_test.go
@@ -28,10 +28,10 @@
 	q := &sched.Queue{Order: order}
 	q.Speed.Slots = 2
 	for range 50 {
-		q.Speed.Running(1)
+		q.Speed.Running(1, 0)
 		q.Speed.Answered(start, 20)
 	}
-	q.Speed.Running(2)
+	q.Speed.Running(2, 0)
 	return q
 }
 
@@ -168,10 +168,10 @@
 	now := start
 	for range 100 { // an answer of two slots each 16 ms, of requests that took 64
 		now += 16
-		q.Speed.Running(4)
+		q.Speed.Running(4, 0)
 		q.Speed.Answered(now, 64)
 	}
-	q.Speed.Running(2)
+	q.Speed.Running(2, 0)
 	expected := q.Speed.Expected()
 	assert.Assert(t, expected >= 46 && expected <= 48, "%v", expected) // 32 and 16 of waiting
 }
--- a/pkg/sched/speed.go
+++ b/pkg/sched/speed.go
@@ -14,13 +14,14 @@
 
 	mean       float64      // moving average of the service time in ms, 0 if not known
 	running    int          // requests at the server
+	expected   int          // of flows that have just opened, whose requests are on the way
 	lastAnswer clock.Millis // while all slots are busy, 0 if they were not
 }
 
-// Running records how many requests are at the server: in progress, or expected of flows
-// that have just opened.
-func (s *Speed) Running(requests int) {
-	s.running = requests
+// Running records how many requests are at the server, and how many more are expected of
+// flows that have just opened.
+func (s *Speed) Running(requests, expected int) {
+	s.running, s.expected = requests, expected
 	if requests < s.Slots {
 		s.lastAnswer = 0
 	}
@@ -56,5 +57,5 @@
 	if s.Slots == 0 {
 		return 0
 	}
-	return clock.Millis(s.mean * float64(max(0, s.running+n+1-s.Slots)) / float64(s.Slots))
+	return clock.Millis(s.mean * float64(max(0, s.running+s.expected+n+1-s.Slots)) / float64(s.Slots))
 }
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -73,6 +73,7 @@
 	flows      map[flow.Key]*flowEntry
 	load       int         // requests in progress, and flows expected to send one
 	expected   int         // flows in load that have not sent a request
+	overdue    int         // requests in load for longer than overdueTime at the last Tick, with AllWork
 	state      ServerState // as balancers report it
 	revision   uint64      // of the entry that state was read from
 	// restoreSeenAt is when a message first took back a drain in a later era of the
--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -179,6 +179,7 @@
 // the load that were not sent or not answered in time. Call it about once a second, and
 // every few milliseconds while SYNs are queued.
 func (a *Agent) Tick(now clock.Millis) {
+	a.overdue = 0
 	for key, e := range a.flows {
 		switch {
 		case e.inLoad && (now-e.since >= maxServiceTime || !e.gotRequest && e.phase != opening && now-e.since >= a.requestTimeout()):
@@ -188,6 +189,8 @@
 			a.setInLoad(e, false, now)
 		case e.phase == ended && now-e.since >= endedFlowTime, now-e.lastSeen >= flowLifeOrDefault(a.FlowLife):
 			a.deleteFlow(key, e)
+		case a.AllWork && e.inLoad && e.gotRequest && now-e.since >= a.overdueTime():
+			a.overdue++
 		}
 	}
 }
--- a/pkg/steer/fuzz_test.go
+++ b/pkg/steer/fuzz_test.go
@@ -21,6 +21,9 @@
 	f.Fuzz(func(t *testing.T, raw []byte, from uint64, flags byte, ack uint32) {
 		c := newCluster(t, 5, 1)
 		b := c.balancers[0]
+		for _, h := range c.hosts {
+			h.agent.AllWork = ack%2 == 0
+		}
 		owner := c.open(b, 1000)
 		var m steer.Message
 		if _, err := m.Decode(raw); err != nil {
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -21,6 +21,11 @@
 	// early queues in the server, where the order has no effect: with 2 instead of 1 the
 	// simulation served 0.4 % less value.
 	extraWithHeld = 1
+	// minOverdueTime and overdueFactor set how long a request counts as being at the server:
+	// a multiple of the expected time to an answer. 3 in 100 take seven times the usual time.
+	// A lost request would otherwise block a slot for maxServiceTime.
+	minOverdueTime = 500 * clock.Millis(1)
+	overdueFactor  = 10
 	// stallTime is how long a server with requests may give no answer before requests of
 	// open flows are delivered whatever its load, as without the queue: it may have lost
 	// the requests that count as in progress. A server that is 8 times slower than usual
@@ -188,7 +193,17 @@
 // flow now: it has a free slot, although the requests of flows that have just opened may
 // be on the way, or no more than its slots in all.
 func (a *Agent) hasCapacityForRequest() bool {
-	return a.Slots == 0 || a.load-a.expected < a.Slots || a.load < a.Slots+extraWithHeld
+	return a.Slots == 0 || a.requests() < a.Slots || a.requests()+a.expected < a.Slots+extraWithHeld
+}
+
+// requests returns how many requests are at the server, without those that have been there
+// for so long that it may have lost them.
+func (a *Agent) requests() int { return max(0, a.load-a.expected-a.overdue) }
+
+// overdueTime returns how long a request may take before it no longer counts as being at
+// the server for the queue for all work.
+func (a *Agent) overdueTime() clock.Millis {
+	return max(minOverdueTime, overdueFactor*a.held.queue.Speed.Expected())
 }
 
 // stalled reports whether the server has given no answer for so long that its load is
@@ -205,7 +220,7 @@
 // recordAnswer records the first byte of the server's answer to a request.
 func (a *Agent) recordAnswer(now clock.Millis, e *flowEntry) {
 	a.held.progressAt = now
-	a.held.queue.Speed.Running(a.load)
+	a.held.queue.Speed.Running(a.requests(), a.expected)
 	a.held.queue.Speed.Answered(now, now-e.since)
 	if e.sentAt > 0 {
 		a.held.queue.Answered(e.priority, e.goal > 0 && now-e.sentAt > e.goal)
@@ -221,7 +236,7 @@
 		return a.releaseNext(now), true
 	}
 	w.queue.Speed.Slots = a.Slots
-	w.queue.Speed.Running(a.load)
+	w.queue.Speed.Running(a.requests(), a.expected)
 	if w.queue.Len() == 0 {
 		return Release{}, false
 	}
--- a/pkg/steer/hold_test.go
+++ b/pkg/steer/hold_test.go
@@ -120,7 +120,11 @@
 			h.offer(steer.Packet{Key: key(2), RST: true, HasACK: true, Ack: 8, Seq: 300})
 		}, nil, []steer.Verdict{steer.Deliver}, 0},
 		{"suspension of the process", func(h *holder) { h.RecordSuspension(h.now) }, nil, nil, 1},
-		{"requests lost in the server", func(h *holder) { h.now += 1100 }, []steer.Verdict{steer.Deliver}, []steer.Verdict{steer.Deny}, 0},
+		{"some requests lost in the server", func(h *holder) {
+			h.now += 550
+			h.Tick(h.now)
+		}, []steer.Verdict{steer.Deliver}, []steer.Verdict{steer.Deliver}, 0},
+		{"no answer for a second", func(h *holder) { h.now += 1100 }, []steer.Verdict{steer.Deliver}, []steer.Verdict{steer.Deny}, 0},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			h := newHolder(4)
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -119,7 +119,7 @@
 	if a.held.queue.Pinned() > 0 {
 		extra = extraWithHeld
 	}
-	return a.Slots == 0 || a.load < a.Slots+extra
+	return a.Slots == 0 || a.load-a.overdue < a.Slots+extra
 }
 
 // enqueue holds a SYN until a slot is free.
