--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -23,6 +23,11 @@
 // queueInterval is the time between two runs of the timers while SYNs are queued.
 const queueInterval = 20 * time.Millisecond
 
+// loggedWait is the shortest wait of a request of an open flow that is logged. On a busy
+// server most requests wait for some milliseconds, and their lines would take the log's
+// rate from others.
+const loggedWait = 100 * clock.Millis(1)
+
 // serverCheckTimeout bounds the check at shutdown whether the server has ended. The
 // server runs on the same host.
 const serverCheckTimeout = 100 * time.Millisecond
@@ -286,8 +291,10 @@
 		if a.core.AllWork {
 			a.heldTime[sched.ClassOf(r.Priority)].Update(r.Waited.Duration().Seconds())
 		}
-		a.limitedLog.info(now, "waited", "flow", r.Packet.Key, "decision", decisionText(r.Outcome.Verdict, r.Outcome.Reason),
-			"waited", r.Waited, "load", a.core.Load(), "slots", a.core.Slots)
+		if r.Outcome.Reason != steer.KnownOwner || r.Waited >= loggedWait {
+			a.limitedLog.info(now, "waited", "flow", r.Packet.Key, "decision", decisionText(r.Outcome.Verdict, r.Outcome.Reason),
+				"waited", r.Waited, "load", a.core.Load(), "slots", a.core.Slots)
+		}
 		raw := append(a.releaseBuffer[:headroom], r.Raw...)
 		a.execute(now, r.Outcome, r.Packet, r.Message, raw)
 	}
