--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -84,7 +84,7 @@
 	Config         *Config
 	DataCentreName string // data centre whose state changed
 	OutOfService   bool   // whether that data centre is now out of service
-	Revision       uint64 // at which it was taken out of service, by RevisionOf
+	Revision       uint64 // of the change of Config or of the data centre, by RevisionOf
 }
 
 // Times that the registry waits.
--- a/pkg/steer/restore.go
+++ b/pkg/steer/restore.go
@@ -48,6 +48,16 @@
 	return applied
 }
 
+// ApplyPart applies a part of a listing before the whole has been received. It removes
+// nothing. If the store was restored since the last listing, or a moment ago, it applies
+// evacuations only: what else may be applied is decided by the whole listing.
+func (r *Registry) ApplyPart(now clock.Millis, part []Change, restored bool) []Event {
+	if restored || r.restoring(now) {
+		part = slices.DeleteFunc(slices.Clone(part), func(c Change) bool { return !c.OutOfService })
+	}
+	return r.Apply(now, part)
+}
+
 // isNewerThan reports whether an entry in a restored store takes back this state: a
 // later run of the server, or the drain of the same run.
 func (s *Server) isNewerThan(restored *Server) bool {
