Read the state of the store, not its history, after an outage

The balancer now follows resync.Policy. After an outage longer than half of the shortest bound, a discarded history, a restore, or a watch that is cut or larger than the state, it reads evacuations and servers, applies them at once, and then the configuration. Metrics and log lines tell the age of the view by kind of key, the bytes fetched and discarded, and why the state was read.

With 10 Mbit/s and 31 missed versions of 256 kB to 900 kB the balancer of TestSlowHostIsCurrentSoonAfterOutage is current 1.5 to 2.4 s after its outage. On a healthy store the calls are as before, one listing and then one watch at a time (TestHealthyStoreGetsOneListingThenWatches).

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -12,6 +12,7 @@
 	"dogwoodlanding.example/dogwood/pkg/burn"
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/place"
+	"dogwoodlanding.example/dogwood/pkg/resync"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform"
 	"github.com/VictoriaMetrics/metrics"
@@ -39,7 +40,7 @@
 	Clock        clock.Clock
 	DroppedLines func() uint64 // returns the number of dropped log lines, may be nil
 
-	mu                sync.Mutex // guards core, limitedLog, pauses, shuttingDown, viewChangedAt and viewAsOf
+	mu                sync.Mutex // guards core, limitedLog, pauses, shuttingDown, viewChangedAt, viewAsOf, resync and overdue
 	core              steer.Balancer
 	limitedLog        limitedLog
 	pauses            pauseDetector
@@ -51,13 +52,16 @@
 	refreshRequests   chan struct{} // requests an immediate answer of the store
 	firstListing      chan struct{} // closed after the first listing
 	closeFirstListing sync.Once
-	batchPause        time.Duration // last pause after changes; used by watchStore only
-	storeEra          uint64        // of the last listing; used by watchStore only
-	hasEra            bool          // storeEra is set
-	packets           *net.UDPConn  // for packets of callers and resets to them
-	agents            *net.UDPConn  // for messages from and to agents
-	packetPort        uint16        // of callers and agents, the same as that of packets
-	resumeBuffer      []byte        // of resumeParked, with space for a message and a packet
+	batchPause        time.Duration        // last pause after changes; used by watchStore only
+	storeEra          uint64               // of the last listing; used by watchStore only
+	hasEra            bool                 // storeEra is set
+	resync            resync.Policy        // decides on calls of the store
+	configRevision    uint64               // of the last configuration applied; used by watchStore only
+	overdue           map[resync.Keys]bool // keys whose view was logged as overdue
+	packets           *net.UDPConn         // for packets of callers and resets to them
+	agents            *net.UDPConn         // for messages from and to agents
+	packetPort        uint16               // of callers and agents, the same as that of packets
+	resumeBuffer      []byte               // of resumeParked, with space for a message and a packet
 	stats             balancerMetrics
 }
 
@@ -73,6 +77,7 @@
 	storeFailures *metrics.Counter
 	storeRestores *metrics.Counter
 	listTime      *metrics.Histogram
+	transfer      transferMetrics
 	serviceLevel  serviceLevel
 }
 
@@ -110,6 +115,7 @@
 		storeRestores:  set.NewCounter("dogwood_store_restores_total"),
 		listTime:       set.NewHistogram("dogwood_store_list_seconds"),
 	}
+	b.initResync()
 	b.stats.serviceLevel = serviceLevel{set: set, clock: b.Clock, dataCentre: b.Settings.Path.DataCentre}
 	return nil
 }
@@ -126,7 +132,7 @@
 	if err := tasks.start(background); err != nil {
 		return err
 	}
-	store := newStore(b.Settings.Store, b.Clock, b.logInvalidEntry, b.requestRefresh)
+	store := newStore(b.Settings.Store, b.Clock, b.logInvalidEntry, b.requestRefresh, b.stats.transfer.count)
 	go b.watchStore(background, store)
 	go func() {
 		b.awaitFirstListing(background)
@@ -327,6 +333,7 @@
 func (b *Balancer) tick() {
 	now := b.Clock.Now()
 	b.checkSuspension(now)
+	b.checkOverdue(now)
 	for _, s := range b.core.Tick(now, b.sendPing) {
 		b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 	}
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/resync"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform"
 )
@@ -34,10 +34,6 @@
 	// burstGap is how long a watch must have waited for changes for them to start a
 	// new burst, at which the pause begins at minBatchPause again.
 	burstGap = time.Second
-	// minRetryPause and maxRetryPause bound the pause after a failed call, before
-	// jitter.
-	minRetryPause = 100 * time.Millisecond
-	maxRetryPause = 800 * time.Millisecond
 	// keepAliveIdle and keepAliveProbes detect a dead connection before the watch ends
 	// by itself.
 	keepAliveIdle   = time.Second
@@ -48,7 +44,7 @@
 
 // newStore returns a client of the store. It calls reconnected for each connection after
 // the first.
-func newStore(address string, c clock.Clock, invalidEntry func(string, uint64, error), reconnected func()) *platform.Store {
+func newStore(address string, c clock.Clock, invalidEntry func(string, uint64, error), reconnected func(), transferred func(int64, int64)) *platform.Store {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes}}
 	var connected atomic.Bool
@@ -60,34 +56,44 @@
 		return conn, err
 	}
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
-	return &platform.Store{Address: address, Client: &http.Client{Transport: transport}, Clock: c, InvalidEntry: invalidEntry}
+	return &platform.Store{Address: address, Client: &http.Client{Transport: transport}, Clock: c, InvalidEntry: invalidEntry, Transferred: transferred}
 }
 
 // watchStore keeps the registry up to date until ctx is cancelled.
 func (b *Balancer) watchStore(ctx context.Context, store *platform.Store) {
 	revision := uint64(0)
-	pause := minRetryPause
 	for ctx.Err() == nil {
+		call := b.nextCall(store)
+		if call.Pause > 0 {
+			sleep(ctx, call.Pause.Duration())
+		}
+		began := time.Now()
 		var err error
-		if revision == 0 {
+		switch call.Kind {
+		case resync.Listing:
 			revision, err = b.listStore(ctx, store)
-		} else {
+		case resync.State:
+			revision, err = b.readState(ctx, store, call.Reason, revision)
+		default:
 			revision, err = b.watchOnce(ctx, store, revision)
 		}
+		if errors.Is(err, errInterrupted) || ctx.Err() != nil {
+			continue
+		}
+		b.recordCall(store, call.Kind, time.Since(began), err)
 		if err == nil {
-			pause = minRetryPause
 			continue
 		}
-		b.requestRefresh() // the next call should return without waiting for changes
+		b.requestRefresh() // the next watch should return without waiting for changes
+		if errors.Is(err, errSuspended) {
+			continue
+		}
 		b.stats.storeFailures.Inc()
-		if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrRestored) {
-			b.Log.Warn("listing the store again", "revision", revision, "err", err)
-			revision = 0
+		if answeredOtherwise(err) {
+			b.Log.Warn("reading the state of the store", "revision", revision, "err", err)
 			continue
 		}
 		b.recordOutage(err)
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxRetryPause)
 	}
 }
 
@@ -102,9 +108,8 @@
 	b.stats.listTime.UpdateDuration(began)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.recordAnswer(requestedAt, revision)
-	b.recordEra(now, store.Era())
-	b.logEvents(now, b.core.Registry.ApplyListing(now, changes), revision)
+	b.applyListing(store, requestedAt, changes, revision)
+	b.resync.Cover(resync.Configuration, requestedAt)
 	b.core.RecordRefresh()
 	b.tick() // so that new agents are pinged at once
 	b.closeFirstListing.Do(func() { close(b.firstListing) })
@@ -124,8 +129,8 @@
 }
 
 // watchOnce waits once for changes after a revision and returns the revision to
-// continue from. It returns early if a decision needs a newer view, and after a
-// suspension, then with revision 0, so that the store is listed again.
+// continue from. It returns early with errInterrupted if a decision needs a newer view,
+// and with errSuspended after a suspension, so that the state is read again.
 func (b *Balancer) watchOnce(ctx context.Context, store *platform.Store, revision uint64) (uint64, error) {
 	wait := b.nextWatchWait()
 	waiting, cancel := context.WithCancel(ctx)
@@ -145,11 +150,11 @@
 	cancel()
 	switch <-interrupted {
 	case processSuspended:
-		return 0, nil
+		return revision, errSuspended
 	case refreshRequested:
 		b.requestRefresh()
 		if err != nil {
-			return revision, nil
+			return revision, errInterrupted
 		}
 	}
 	if err != nil {
@@ -157,6 +162,7 @@
 	}
 	b.mu.Lock()
 	now := b.recordAnswer(requestedAt, next)
+	b.recordWatched(store, changes)
 	b.logEvents(now, b.core.Registry.Apply(now, changes), next)
 	b.resumeParked(now)
 	b.mu.Unlock()
