--- a/internal/path/catchup.go
+++ b/internal/path/catchup.go
@@ -126,6 +126,10 @@
 // readState reads the evacuations and servers, which it applies at once, and then the
 // configuration. It returns the revision to continue from, the given one if that fails.
 func (b *Balancer) readState(ctx context.Context, store *platform.Store, reason resync.Reason, revision uint64) (uint64, error) {
+	select {
+	case <-b.refreshRequests: // the reading serves what was requested before it
+	default:
+	}
 	began, requestedAt := time.Now(), b.Clock.Now()
 	b.stats.transfer.stateCalls.Inc()
 	changes, next, err := store.ListWithoutConfig(ctx, func(part []steer.Change) { b.applyPart(store, part) })
--- a/pkg/resync/resync.go
+++ b/pkg/resync/resync.go
@@ -141,6 +141,7 @@
 
 	listed        bool
 	reason        Reason // why the state must be read, NoReason if it need not be
+	spread        bool   // the reading is spread, since other hosts begin theirs at the same time
 	failures      int    // calls in succession that failed
 	slow          int    // responses that exceeded the limit since the last complete call
 	lost          bool   // the last call failed
@@ -185,11 +186,12 @@
 	return clock.Millis(p.stateBytes * fleetHosts / storeBytesPerMs)
 }
 
-// pause returns the pause before a call. Readings of the state are spread over the time
-// in which the store can send them to 300 hosts, within a quarter of the shortest bound.
+// pause returns the pause before a call. Readings of the state that many hosts begin at
+// the same time are spread over the time in which the store can send them to 300 hosts,
+// within a quarter of the shortest bound.
 func (p *Policy) pause(c Call) clock.Millis {
 	var spread clock.Millis
-	if c.Kind == State && c.Reason != Suspended {
+	if c.Reason == Outage || c.Kind == State && p.spread {
 		spread = min(p.Bounds.shortest()/4, p.fleetTime())
 	}
 	if p.failures == 0 {
@@ -221,7 +223,7 @@
 		if o.Kind != Watch {
 			p.listed, p.stateBytes, p.stateDuration = true, o.Bytes, o.Took
 		}
-		p.reason, p.failures, p.slow, p.lost = NoReason, 0, 0, false
+		p.reason, p.spread, p.failures, p.slow, p.lost = NoReason, false, 0, 0, false
 		return
 	case FoundHistoryGone:
 		p.reason = HistoryGone
@@ -236,6 +238,9 @@
 		return
 	}
 	if o.Kind == Watch {
+		// A host that has paused after failures returns at a time of its own, and one whose
+		// watch was too large has used up time already.
+		p.spread = p.failures == 0 && (p.reason == HistoryGone || p.reason == Restored)
 		p.failures, p.lost = 0, false // the store answers
 		return
 	}
