Send a SYN that would be late on to other servers before refusing it

Cause: a SYN whose goal could not be met at the least busy of the first servers was refused, which uses up one of its caller's attempts. Change: such a SYN is denied so that its balancer offers it to the next server, once; after that it waits, and is refused only when no answer can reach its caller in time. Balancers need no change: they go on with the order when no least busy server is named.

--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -67,7 +67,10 @@
 	Limit    clock.Millis // time after which the caller gives up, 0 if not known
 	Priority int          // 0 is the most urgent
 	Movable  bool         // may be refused, so that it goes to another server
-	Bytes    int          // that are held for it
+	// Untried says that a movable item can go to servers that have not seen it, at no cost
+	// to its caller.
+	Untried bool
+	Bytes   int // that are held for it
 }
 
 // age returns how long ago the caller first sent the item.
@@ -78,8 +81,9 @@
 
 // Reasons.
 const (
-	Waited  Reason = iota // it has waited for as long as it may
-	Backlog               // the work before it takes too long
+	Waited    Reason = iota // it has waited for as long as it may
+	Backlog                 // the work before it takes too long for any answer
+	Elsewhere               // the work before it takes too long for its goal, and other servers have not seen it
 	reasonCount
 )
 
@@ -334,16 +338,18 @@
 	}
 }
 
-// Refuse removes and returns a movable item that is to be refused, and why: it has waited
-// as long as it may, or the work before it leaves it no time to reach its goal here, which
-// it may elsewhere. An item that has missed its goal is refused only if it would wait for
-// too long. Refuse returns false if there is none. Call it until then.
+// Refuse removes and returns a movable item that is to be refused, and why. An item that
+// can still go to other servers is refused if the work before it leaves it no time to
+// reach its goal here. Any other is refused only if it would have to wait for too long:
+// a refusal costs its caller one of few attempts, and while all servers are overloaded,
+// as after an outage, a late answer is worth more. Refuse returns false if there is none.
+// Call it until then.
 func (q *Queue) Refuse(now clock.Millis) (Item, Reason, bool) {
 	if q.movable == 0 {
 		return Item{}, 0, false
 	}
 	work := q.work()
-	last := [2]int{-1, -1} // index of the last movable item: in time, of the rest
+	last := [2]int{-1, -1} // index of the last movable item: untried and in time, any
 	for i := range q.items {
 		item := &q.items[i].Item
 		if !item.Movable {
@@ -352,12 +358,11 @@
 		if item.overdue(now) {
 			return q.refuse(i, Waited), Waited, true
 		}
-		l := &last[0]
-		if rankOf(item, now, work) != inTime {
-			l = &last[1]
+		if item.Untried && rankOf(item, now, work) == inTime && (last[0] < 0 || !q.goesBefore(item, &q.items[last[0]].Item, now, work)) {
+			last[0] = i
 		}
-		if *l < 0 || !q.goesBefore(item, &q.items[*l].Item, now, work) {
-			*l = i
+		if last[1] < 0 || !q.goesBefore(item, &q.items[last[1]].Item, now, work) {
+			last[1] = i
 		}
 	}
 	for r, i := range last {
@@ -366,7 +371,10 @@
 		}
 		item := &q.items[i].Item
 		wait := q.Speed.TimeFor(q.ahead(i, now, work))
-		if item.overdue(now+wait) || r == 0 && rankOf(item, now+wait, work) != inTime {
+		switch {
+		case r == 0 && rankOf(item, now+wait, work) != inTime:
+			return q.refuse(i, Elsewhere), Elsewhere, true
+		case r == 1 && item.hopeless(now+wait, work):
 			return q.refuse(i, Backlog), Backlog, true
 		}
 	}
@@ -400,15 +408,24 @@
 // work returns the time from the delivery of an item until which its answer is expected.
 func (q *Queue) work() clock.Millis { return workFactor * q.Speed.Expected() }
 
-// overdue reports whether a movable item has waited for as long as it may, or half of its
-// time limit has passed, so that its caller has time for another attempt.
+// overdue reports whether a movable item has waited for as long as it may: MaxWait, and
+// half of its time limit.
 func (i *Item) overdue(now clock.Millis) bool {
-	return now-i.Arrived >= MaxWait || i.Limit > 0 && i.age(now) >= i.Limit/2
+	return now-i.Arrived >= MaxWait || i.Limit > 0 && now-i.Arrived >= i.Limit/2
+}
+
+// hopeless reports whether a movable item that is delivered at the time then would have
+// waited for too long, and its answer would come after its time limit. workFactor allows
+// for a late answer, so half of work is expected.
+func (i *Item) hopeless(then, work clock.Millis) bool {
+	return i.overdue(then) && (i.Limit == 0 || i.age(then)+work/workFactor > i.Limit)
 }
 
 func (q *Queue) refuse(i int, reason Reason) Item {
 	item := &q.items[i]
 	q.counts[ClassOf(item.Priority)].Refused[reason]++
-	q.recordMiss(item.Priority, true)
+	if reason != Elsewhere {
+		q.recordMiss(item.Priority, true)
+	}
 	return q.take(i)
 }
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -31,6 +31,10 @@
 	// the requests that count as in progress. A server that is 8 times slower than usual
 	// answers several times in that time.
 	stallTime = clock.Second
+	// maxVisitedUntried is how many agents may have denied a SYN for it to be sent on to
+	// others without a reset: the candidates, and twice one more. Further visits take longer
+	// than a free slot there saves.
+	maxVisitedUntried = maxCandidates
 )
 
 // heldWork is the queue for all work of the server: SYNs and requests of open flows.
@@ -77,7 +81,7 @@
 	} else {
 		h = new(heldFlow)
 	}
-	h.item = sched.Item{Key: p.Key, Arrived: now, Age: p.Age, Goal: m.Goal, Limit: m.TimeLimit, Priority: m.Priority, Movable: p.SYN, Bytes: p.Bytes + heldOverhead}
+	h.item = sched.Item{Key: p.Key, Arrived: now, Age: p.Age, Goal: m.Goal, Limit: m.TimeLimit, Priority: m.Priority, Movable: p.SYN, Untried: p.SYN && m.VisitedCount <= maxVisitedUntried, Bytes: p.Bytes + heldOverhead}
 	h.from = from
 	if p.SYN {
 		h.message = *m
@@ -255,9 +259,13 @@
 		w.releasing = h
 		return a.releaseNext(now), true
 	}
-	if item, _, ok := w.queue.Refuse(now); ok {
+	if item, reason, ok := w.queue.Refuse(now); ok {
 		a.counts.Overloaded++
-		return a.releaseSYN(now, w.remove(item.Key), Overloaded), true
+		h := w.remove(item.Key)
+		if reason == sched.Elsewhere { // the balancer goes on to the next server of the order
+			h.message.LastOffer, h.message.LeastBusy, h.message.LeastBusyLoad = false, 0, 0
+		}
+		return a.releaseSYN(now, h, Overloaded), true
 	}
 	var item sched.Item
 	switch {
--- a/pkg/steer/hold_test.go
+++ b/pkg/steer/hold_test.go
@@ -193,3 +193,47 @@
 		answered++
 	}), 0.0)
 }
+
+// A SYN that cannot be in time at the least busy of the first servers used to be refused,
+// which costs its caller an attempt, while servers further down the order had room. One
+// that has been sent on already waits: sending it on without end would answer nobody.
+func TestSYNThatWouldBeLateGoesOnToOtherServers(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		visited int
+		goesOn  bool
+	}{{"first queue", 4, true}, {"second queue", 5, false}} {
+		h := newHolder(40)
+		for n := range 50 { // so that the agent knows the service time
+			h.request(0, n+2)
+			h.now += 20
+			h.answer(0)
+		}
+		for port := range 5 {
+			h.request(port+1, 2) // the slots are in use
+		}
+		p := steer.Packet{Key: key(5000), SYN: true, Seq: 1}
+		m := steer.Message{Kind: steer.OfferPacket, Service: h.Service, Revision: 1, Slots: 2, Goal: 200, TimeLimit: 1500, Priority: 2,
+			LastOffer: true, LeastBusy: 1, LeastBusyLoad: 900, VisitedCount: row.visited}
+		for i := range row.visited {
+			m.Visited[i] = uint32(i + 1)
+		}
+		assert.Equal(t, h.FromBalancer(h.now, h.from, &m, p).Verdict, steer.Wait, row.name)
+		h.KeepRaw([]byte("packet"))
+		h.now += 5
+		for port := 6; port < 40; port++ {
+			h.request(port, 2) // newer requests go first
+		}
+		r, ok := h.Release(h.now)
+		assert.Equal(t, ok, row.goesOn, row.name)
+		if !row.goesOn {
+			continue
+		}
+		assert.Equal(t, r.Outcome.Verdict, steer.Deny)
+		assert.Equal(t, r.Outcome.Reason, steer.Overloaded)
+		assert.Assert(t, !r.Message.LastOffer && r.Message.LeastBusy == 0 && r.Message.VisitedCount == row.visited)
+		c := newCluster(t, 12, 1)
+		d := c.balancers[0].Denied(c.now, 1, p, r.Message)
+		assert.Equal(t, d.Verdict, steer.Offer, "the balancer must go on, not refuse")
+	}
+}
