Order new flows' visits by estimated spare capacity (ByRoom)

Each new flow visited up to four busy servers in an order that only its hash decided, since a balancer knows nothing of a server's load beforehand. Agents now report their utilization, averaged over about a second, in the messages that they send anyway. With the setting Balance "ByRoom", a balancer draws the order among the first four candidates by estimated spare capacity, and queues a flow early where another visit would take longer than it saves. The set of servers that are visited, and so the bound on holders, stays. All balancers send the median service time with offers of new flows.

Tests of pkg/steer, internal/setup and internal/path pass. The property test of holders has a variant with ByRoom.

--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -74,6 +74,7 @@
 	storeRestores *metrics.Counter
 	listTime      *metrics.Histogram
 	serviceLevel  serviceLevel
+	rooms         map[string]bool // services whose estimates have metrics
 }
 
 // init opens the sockets and sets the unexported fields.
@@ -87,6 +88,7 @@
 	}
 	b.packetPort = b.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	b.core.CacheFlows = b.Settings.CacheFlows
+	b.core.ByRoom = b.Settings.Balance == setup.BalanceByRoom
 	b.core.Registry.FlowLife = flowLife(b.Settings.Path)
 	if b.core.Disabled, err = disabledMechanisms(b.Log, b.Settings.Path); err != nil {
 		return err
@@ -101,7 +103,7 @@
 	set := metrics.NewSet()
 	registerDroppedLines(set, b.DroppedLines)
 	b.stats = balancerMetrics{
-		set: set, decisions: make(map[string]*metrics.Counter),
+		set: set, decisions: make(map[string]*metrics.Counter), rooms: make(map[string]bool),
 		storeLists:     set.NewCounter(`dogwood_store_calls_total{kind="List"}`),
 		storeWatches:   set.NewCounter(`dogwood_store_calls_total{kind="Watch"}`),
 		storeRefreshes: set.NewCounter(`dogwood_store_calls_total{kind="Refresh"}`),
@@ -134,7 +136,7 @@
 	}()
 	go b.readAgents()
 	go runEvery(background, tickInterval, b.startTimer.C, &b.mu, b.tick)
-	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store)
+	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store, "balance", b.Settings.Balance)
 	<-ctx.Done()
 	b.mu.Lock()
 	b.shuttingDown = true
@@ -156,7 +158,7 @@
 	defer b.mu.Unlock()
 	b.core.EvacuationGracePeriod = clock.Millis(settings.EvacuateMs)
 	setLogLevel(b.Log, settings.Path.LogLevel)
-	if needsStart(b.Settings.Path, settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents {
+	if needsStart(b.Settings.Path, settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents || settings.Balance != b.Settings.Balance {
 		b.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
@@ -335,6 +337,7 @@
 	}
 	b.logEvents(now, b.core.Registry.ApplyHeld(now), 0)
 	b.resumeParked(now)
+	b.registerRooms()
 }
 
 // sendPing probes an agent.
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -30,8 +30,14 @@
 	DrainMs    int `json:",omitempty"`
 	ConfigMs   int `json:",omitempty"`
 	CacheFlows int // capacity of the cache of flow owners, in flows; 0 means the default
+	// Balance is BalanceByRoom, or empty for an order of servers by the flow's hash alone.
+	Balance string `json:",omitempty"`
 }
 
+// BalanceByRoom orders the servers that a new flow visits by their estimated spare
+// capacity.
+const BalanceByRoom = "ByRoom"
+
 // PathAgent is the settings file of an agent of internal/path.
 type PathAgent struct {
 	Path     Path
@@ -50,6 +56,9 @@
 		c.checkNotNegative("DrainMs", s.DrainMs)
 		c.checkNotNegative("ConfigMs", s.ConfigMs)
 		c.checkNotNegative("CacheFlows", s.CacheFlows)
+		if s.Balance != "" && s.Balance != BalanceByRoom {
+			c.addError("Balance", "%q is not known, want %s or none", s.Balance, BalanceByRoom)
+		}
 	})
 }
 
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -37,8 +37,8 @@
 }
 
 func TestPathErrorsAreReportedTogether(t *testing.T) {
-	_, err := setup.ReadPathBalancer(writeSettings(t, `{"Path": {"Host": "x", "FlowLifeS": -1, "Disabled": ["Magic"]}, "EvacuateMs": -1, "DrainMs": -1, "ConfigMs": -1}`))
-	for _, position := range []string{"Path.Name", "Path.Host", "Path.Packets", "Store", "Agents", "EvacuateMs", "DrainMs", "ConfigMs", "Path.FlowLifeS", "Path.Disabled"} {
+	_, err := setup.ReadPathBalancer(writeSettings(t, `{"Path": {"Host": "x", "FlowLifeS": -1, "Disabled": ["Magic"]}, "EvacuateMs": -1, "DrainMs": -1, "ConfigMs": -1, "Balance": "Even"}`))
+	for _, position := range []string{"Path.Name", "Path.Host", "Path.Packets", "Store", "Agents", "EvacuateMs", "DrainMs", "ConfigMs", "Path.FlowLifeS", "Path.Disabled", "Balance"} {
 		assert.ErrorContains(t, err, position)
 	}
 	_, err = setup.ReadPathBalancer("/nowhere")
@@ -60,7 +60,7 @@
 func TestUnsetFieldsOfLaterVersionsAreNotWritten(t *testing.T) {
 	raw, err := json.Marshal(setup.PathBalancer{})
 	assert.NilError(t, err)
-	for _, field := range []string{"DrainMs", "ConfigMs", "Disabled"} {
+	for _, field := range []string{"DrainMs", "ConfigMs", "Disabled", "Balance"} {
 		assert.Assert(t, !strings.Contains(string(raw), field), "%s", raw)
 	}
 }
--- /dev/null
+++ b/pkg/room/room.go
@@ -0,0 +1,341 @@
+// Package room estimates the spare capacity of the servers of a service from reports
+// that are seconds old, and orders the candidates of a new flow by it.
+//
+// A balancer hears of a server about every two seconds, while a request takes 20 to 50 ms.
+// So the length of a queue is outdated on arrival, and a report holds the server's
+// utilization over about a second instead. Most of that comes from flows that stay open
+// for many requests, so it changes slowly. Whether a slot is free at the moment only the
+// server's agent tells, when the flow visits it.
+//
+// The load it handles is uneven demand between data centres, servers that are slower than
+// others, and servers that joined a moment ago and hold few flows.
+package room
+
+import (
+	"math"
+	"slices"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/place"
+)
+
+// Parameters of the estimates.
+const (
+	// halfTrust is the age at which an estimate is halfway between the report and the mean
+	// of the service. A report loses its worth as flows end and others open; see the note
+	// 16-even-load.md for the values that were compared.
+	halfTrust = 4 * clock.Second
+	// sentLife is how long a flow that was sent to a server counts if no report has come
+	// since, for example because the message was lost.
+	sentLife = clock.Second
+	// meanInterval is the time between two calculations of the mean and the median of a
+	// service: a report changes the mean of 40 servers by a few percent at most.
+	meanInterval = 100 * clock.Millis(1)
+	// reportLife is the age at which a report counts for nothing: flows live for 60 s.
+	reportLife = 60 * clock.Second
+	// crowded is the spare share of a server whose utilization is 1. A server that is
+	// overloaded by a factor has that much less, so that overloaded servers are told apart.
+	crowded = 0.05
+	// defaultServiceTime is used until an agent has reported one, in milliseconds. It is
+	// in the middle of the times that services take (20 to 50 ms).
+	defaultServiceTime = 30
+	// roundTripGain is the share of the difference by which a longer round trip raises
+	// the measured one. A shorter one replaces it at once: waits at a busy host only add
+	// to the time.
+	roundTripGain = 1.0 / 16
+)
+
+// maxOrdered is the number of candidates that Order orders at most.
+const maxOrdered = 8
+
+// Report is what an agent's message tells of its server.
+type Report struct {
+	Utilization int          // share of the slots that was in use lately, percent; above 100 if requests waited
+	ServiceTime clock.Millis // mean time to the first byte of an answer, 0 if not known
+}
+
+// Candidate is a server that a new flow may be offered to.
+type Candidate struct {
+	Agent place.ID
+	Slots int // requests that the server can run at once; less than 1 counts as 1
+}
+
+// entry is what is known of one server.
+type entry struct {
+	agent        place.ID
+	utilization  float64 // 1 means that all slots were in use
+	serviceTime  float64 // milliseconds, 0 if not known
+	reportedAt   clock.Millis
+	hasReport    bool
+	sent         int // flows sent since the report
+	sentAt       clock.Millis
+	roundTrip    float64 // milliseconds
+	hasRoundTrip bool
+}
+
+// Table holds the last reports of the servers of one service. The zero value is empty. A
+// Table is not safe for concurrent use.
+type Table struct {
+	entries []entry // in the order of their first reports
+	index   map[place.ID]int
+
+	meanAt  clock.Millis // when mean and typical were calculated, 0 if never
+	mean    float64      // utilization, weighted by the age of the reports
+	typical float64      // median service time, 0 if not known
+}
+
+// Record stores a report and replaces the previous one of the same agent.
+func (t *Table) Record(now clock.Millis, agent place.ID, r Report) {
+	e := t.entryOf(agent)
+	e.utilization, e.serviceTime = float64(max(0, r.Utilization))/100, float64(max(0, r.ServiceTime))
+	e.reportedAt, e.hasReport, e.sent = now, true, 0
+}
+
+// RecordRoundTrip records the time from an offer to the agent's answer.
+func (t *Table) RecordRoundTrip(agent place.ID, took clock.Millis) {
+	e, sample := t.entryOf(agent), float64(max(0, took))
+	if !e.hasRoundTrip || sample < e.roundTrip {
+		e.roundTrip, e.hasRoundTrip = sample, true
+		return
+	}
+	e.roundTrip += (sample - e.roundTrip) * roundTripGain
+}
+
+// RecordSent records that a new flow was sent to an agent.
+func (t *Table) RecordSent(now clock.Millis, agent place.ID) {
+	e := t.entryOf(agent)
+	e.sent = e.sentSince(now) + 1
+	e.sentAt = now
+}
+
+// Retain deletes what is known of the agents for which keep returns false.
+func (t *Table) Retain(keep func(place.ID) bool) {
+	t.entries = slices.DeleteFunc(t.entries, func(e entry) bool { return !keep(e.agent) })
+	clear(t.index)
+	for i := range t.entries {
+		t.index[t.entries[i].agent] = i
+	}
+}
+
+// entryOf returns the entry of an agent. It adds one if there is none.
+func (t *Table) entryOf(agent place.ID) *entry {
+	if i, ok := t.index[agent]; ok {
+		return &t.entries[i]
+	}
+	if t.index == nil {
+		t.index = make(map[place.ID]int)
+	}
+	t.index[agent] = len(t.entries)
+	t.entries = append(t.entries, entry{agent: agent})
+	return &t.entries[len(t.entries)-1]
+}
+
+// known returns the entry of an agent, nil if there is none.
+func (t *Table) known(agent place.ID) *entry {
+	if i, ok := t.index[agent]; ok {
+		return &t.entries[i]
+	}
+	return nil
+}
+
+// sentSince returns the number of flows sent since the last report that still count.
+func (e *entry) sentSince(now clock.Millis) int {
+	if now-e.sentAt >= sentLife {
+		return 0
+	}
+	return e.sent
+}
+
+// trust returns the weight of a report against the mean of the service.
+func (e *entry) trust(now clock.Millis) float64 {
+	age := max(0, now-e.reportedAt)
+	if !e.hasReport || age >= reportLife {
+		return 0
+	}
+	return float64(halfTrust) / float64(halfTrust+age)
+}
+
+// refresh calculates the mean and the median again if they are outdated.
+func (t *Table) refresh(now clock.Millis) {
+	if t.meanAt != 0 && now >= t.meanAt && now-t.meanAt < meanInterval {
+		return
+	}
+	t.meanAt = now
+	sum, weight := 0.0, 0.0
+	times := make([]float64, 0, len(t.entries))
+	for i := range t.entries {
+		e := &t.entries[i]
+		trust := e.trust(now)
+		sum += trust * e.utilization
+		weight += trust
+		if trust > 0 && e.serviceTime > 0 {
+			times = append(times, e.serviceTime)
+		}
+	}
+	t.mean, t.typical = 0, 0
+	if weight > 0 {
+		t.mean = sum / weight
+	}
+	if len(times) > 0 {
+		slices.Sort(times)
+		t.typical = times[len(times)/2]
+	}
+}
+
+// TypicalTime returns the median of the servers' service times, 0 if none is known.
+func (t *Table) TypicalTime(now clock.Millis) clock.Millis {
+	t.refresh(now)
+	return clock.Millis(t.typical)
+}
+
+// typicalOrDefault returns the median service time in milliseconds.
+func (t *Table) typicalOrDefault() float64 {
+	if t.typical == 0 {
+		return defaultServiceTime
+	}
+	return t.typical
+}
+
+// estimate returns the estimated utilization of a server. Call refresh before.
+func (t *Table) estimate(now clock.Millis, c Candidate) float64 {
+	e := t.known(c.Agent)
+	if e == nil {
+		return t.mean
+	}
+	u := t.mean + (e.utilization-t.mean)*e.trust(now)
+	return u + float64(e.sentSince(now))/float64(max(1, c.Slots))
+}
+
+// spare returns the spare share of a server's slots by its utilization.
+func spare(utilization float64) float64 {
+	if utilization <= 0 {
+		return 1
+	}
+	return max(1-utilization, crowded/utilization)
+}
+
+// roundTrip returns the measured round trip to an agent in milliseconds, 0 if it is not
+// known.
+func (t *Table) roundTrip(agent place.ID) float64 {
+	if e := t.known(agent); e != nil && e.hasRoundTrip {
+		return e.roundTrip
+	}
+	return 0
+}
+
+// Order sorts the candidates of a new flow by a weighted draw that the flow's hash
+// determines: the chance to come first is in proportion to the estimated spare capacity.
+// Balancers with the same reports so spread their flows, and copies of a SYN visit the
+// servers in the same order. If keepFirst is set, the first candidate is near and comes
+// first unless its spare capacity is below that of the best of the others.
+// The order remains if no report of a candidate is known.
+func (t *Table) Order(now clock.Millis, hash uint64, candidates []Candidate, keepFirst bool) {
+	candidates = candidates[:min(len(candidates), maxOrdered)]
+	if len(candidates) < 2 || !t.knowsAny(now, candidates) {
+		return
+	}
+	t.refresh(now)
+	var weights, keys [maxOrdered]float64
+	nearest := math.Inf(1)
+	for _, c := range candidates {
+		nearest = min(nearest, t.roundTrip(c.Agent))
+	}
+	best := 0.0
+	for i, c := range candidates {
+		// A longer way costs each request of the flow as much as that share of a service
+		// time spent waiting.
+		detour := max(0, t.roundTrip(c.Agent)-nearest) / t.typicalOrDefault()
+		share := spare(t.estimate(now, c) + detour)
+		if i > 0 {
+			best = max(best, share)
+		}
+		weights[i] = share * float64(max(1, c.Slots))
+		keys[i] = -math.Log(uniform(hash, uint64(c.Agent))) / weights[i]
+	}
+	if keepFirst {
+		first := weights[0] / float64(max(1, candidates[0].Slots))
+		if uniform(hash, 0)*best < first {
+			keys[0] = 0
+		}
+	}
+	for i := 1; i < len(candidates); i++ {
+		for j := i; j > 0 && keys[j] < keys[j-1]; j-- {
+			keys[j], keys[j-1] = keys[j-1], keys[j]
+			candidates[j], candidates[j-1] = candidates[j-1], candidates[j]
+		}
+	}
+}
+
+// knowsAny reports whether a report of one of the candidates is known.
+func (t *Table) knowsAny(now clock.Millis, candidates []Candidate) bool {
+	for _, c := range candidates {
+		if e := t.known(c.Agent); e != nil && e.trust(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// WorthVisiting reports whether a flow that was denied by busy servers gains time if it
+// visits one more before it queues at the least busy of them: whether the round trip is
+// shorter than the wait there, times the estimated chance of a free slot here. load is
+// that of the least busy server in percent of its slots. It returns true if nothing is
+// known of the service.
+func (t *Table) WorthVisiting(now clock.Millis, next Candidate, leastBusy Candidate, load int) bool {
+	if !t.knowsAny(now, []Candidate{next, leastBusy}) {
+		return true
+	}
+	t.refresh(now)
+	slots := float64(max(1, next.Slots))
+	free := 1 - math.Pow(min(1, t.estimate(now, next)), slots)
+	work := t.typicalOrDefault()
+	if e := t.known(leastBusy.Agent); e != nil && e.serviceTime > 0 {
+		work = e.serviceTime
+	}
+	// With all slots in use, the first becomes free after work/slots on average; each
+	// request that waits adds as much.
+	wait := work * (float64(load)/100 - 1 + 1/float64(max(1, leastBusy.Slots)))
+	return free*wait > t.roundTrip(next.Agent)
+}
+
+// uniform returns a number above 0 and up to 1 that the arguments determine. Its
+// constants differ from those of package place, since the candidates have been chosen by
+// their hashes there.
+func uniform(hash, id uint64) float64 {
+	x := (hash ^ 0x9e3779b97f4a7c15) + id*0xd1342543de82ef95
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x ^= x >> 31
+	return float64(x>>11+1) / (1 << 53)
+}
+
+// Stats describes a Table for operators.
+type Stats struct {
+	Reports     int          // servers with a report that counts
+	Age         clock.Millis // mean age of these reports
+	Utilization float64      // mean of the service, 1 means that all slots are in use
+	Spread      float64      // standard deviation of the estimates
+}
+
+// Stats returns the present values.
+func (t *Table) Stats(now clock.Millis) Stats {
+	t.refresh(now)
+	s := Stats{Utilization: t.mean}
+	age, squares := clock.Millis(0), 0.0
+	for i := range t.entries {
+		e := &t.entries[i]
+		trust := e.trust(now)
+		if trust == 0 {
+			continue
+		}
+		s.Reports++
+		age += now - e.reportedAt
+		difference := (e.utilization - t.mean) * trust
+		squares += difference * difference
+	}
+	if s.Reports > 0 {
+		s.Age = age / clock.Millis(s.Reports)
+		s.Spread = math.Sqrt(squares / float64(s.Reports))
+	}
+	return s
+}
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -94,6 +94,7 @@
 	// meanServiceTime is the moving average of the milliseconds from a request to the
 	// first byte of its answer.
 	meanServiceTime float64
+	utilization     utilization
 	queue           queue
 	discardSYNUntil clock.Millis // until then, SYNs may be from before a suspension
 	// meanRequestDelay is the moving average of the milliseconds from the server's
@@ -121,6 +122,7 @@
 	if a.flows == nil {
 		a.startedAt, a.flows = now, make(map[flow.Key]*flowEntry)
 	}
+	a.observeLoad(now)
 }
 
 // knowsAllFlows reports whether the agent has a record of each flow that its server may
@@ -199,9 +201,11 @@
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
 
-// Report fills in what a message tells balancers of the server.
+// Report fills in what a message tells balancers of the server. There is no report before
+// the utilization has been measured for long enough.
 func (a *Agent) Report(m *Message) {
-	m.HasReport, m.Utilization, m.ServiceTime = true, 0, clock.Millis(a.meanServiceTime)
+	m.Utilization, m.HasReport = a.utilization.percent()
+	m.ServiceTime = clock.Millis(a.meanServiceTime)
 }
 
 // synPacket decides on the SYN of a flow.
@@ -430,6 +434,7 @@
 // view, and their callers have given up.
 func (a *Agent) RecordSuspension(now clock.Millis) {
 	a.discardSYNUntil = now + backlogTime
+	a.utilization.skip(now)
 	a.queue = queue{}
 }
 
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -4,6 +4,7 @@
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
 	"dogwoodlanding.example/dogwood/pkg/place"
+	"dogwoodlanding.example/dogwood/pkg/room"
 )
 
 // Limits and times of a balancer.
@@ -39,6 +40,9 @@
 	// EvacuationGracePeriod is how long servers still receive packets of their flows after
 	// their data centre was taken out of service. 0 means without limit.
 	EvacuationGracePeriod clock.Millis
+	// ByRoom orders the candidates of new flows by the estimated spare capacity of their
+	// servers. Without it, the flow's hash alone decides.
+	ByRoom bool
 
 	// Registry must be kept up to date with what the platform reports.
 	Registry Registry
@@ -51,6 +55,7 @@
 	needsRefresh bool                     // the process was suspended, and its view may be outdated
 	cutOff       bool                     // most listed agents were silent at the last Tick
 	reachesLocal bool                     // at least half of those in the own data centre were not
+	rooms        map[string]*room.Table   // by service
 	parked       []parkedPacket
 	searches     map[flow.Key]*search
 	ready        []readyPacket // for Resume
@@ -73,7 +78,7 @@
 	}
 	b.owners = flow.NewCache(b.CacheFlows)
 	b.agentStates, b.awaited = make(map[place.ID]*agentState), make(map[place.ID]*agentState)
-	b.searches = make(map[flow.Key]*search)
+	b.searches, b.rooms = make(map[flow.Key]*search), make(map[string]*room.Table)
 }
 
 // Ready reports whether the routers should send packets to the balancer: it can assign
@@ -132,6 +137,7 @@
 // agent returned. Call Resume afterwards.
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
 	b.init()
+	b.recordReport(now, from, m)
 	b.recordAnswer(from)
 	view := b.Registry.View(now)
 	if view == nil {
@@ -160,6 +166,7 @@
 	b.init()
 	s := b.searches[m.Key]
 	if s == nil {
+		b.recordReport(now, from, m)
 		b.recordAnswer(from)
 		return // the holder has been found meanwhile
 	}
@@ -199,7 +206,8 @@
 	}
 	var ranked [1 + maxOpenOffers]place.ID
 	count := rank(pool.accepting, pool.localAccepting, hash, ranked[:])
-	if next := b.nextCandidate(now, view, ranked[:count], p.Copy, m); next != 0 {
+	b.orderByRoom(now, view, service, hash, ranked[:count])
+	if next := b.nextCandidate(now, view, ranked[:count], p.Copy, m); next != 0 && !b.queuesEarly(now, view, service, next, m) {
 		if b.isStarting(next) {
 			return b.park(now, p, m, awaitAgents)
 		}
@@ -285,6 +293,9 @@
 		}
 		b.setColdLimit(now, view, s, m)
 	}
+	if p.SYN && m.Reason == NewFlow {
+		m.TypicalTime = b.recordSent(now, service, to)
+	}
 	if p.SYN && m.Reason == NewFlow || m.State == Unlisted {
 		b.expectAnswer(now, to)
 	}
@@ -304,6 +315,7 @@
 // silent and now replies again.
 func (b *Balancer) HandleMessage(now clock.Millis, from place.ID, m *Message) bool {
 	b.init()
+	b.recordReport(now, from, m)
 	wasSilent := b.recordAnswer(from)
 	switch m.Kind {
 	case HoldFlow:
--- a/pkg/steer/bound_test.go
+++ b/pkg/steer/bound_test.go
@@ -84,10 +84,16 @@
 // whichever balancer searches, also one that has just started: the search finds the
 // flow's server, and the flow is not reset.
 func TestSearchFindsHolderAmongChangingServers(t *testing.T) {
+	for _, byRoom := range []bool{false, true} {
+		t.Run(fmt.Sprint("ByRoom=", byRoom), func(t *testing.T) { checkHoldersAreFound(t, byRoom) })
+	}
+}
+
+func checkHoldersAreFound(t *testing.T, byRoom bool) {
 	rapid.Check(t, func(rt *rapid.T) {
 		c := newCluster(t, 60, 3)
 		for i, b := range c.balancers {
-			b.Registry.DataCentre = fmt.Sprint("dc", i+1)
+			b.Registry.DataCentre, b.ByRoom = fmt.Sprint("dc", i+1), byRoom
 		}
 		w := &changingFleet{cluster: c, listed: make(map[string]*steer.Server)}
 		for id := range c.hosts {
@@ -136,6 +142,14 @@
 			"replace balancer": func(rt *rapid.T) {
 				i := rapid.IntRange(0, 2).Draw(rt, "balancer")
 				c.balancers[i] = w.newBalancer(c.balancers[i].Registry.DataCentre)
+				c.balancers[i].ByRoom = byRoom
+			},
+			"report": func(rt *rapid.T) { // some agents to some balancers, whatever they estimate then
+				for range rapid.IntRange(1, 40).Draw(rt, "reports") {
+					m := steer.Message{Kind: steer.Pong, HasReport: true, ServiceTime: 30,
+						Utilization: rapid.SampledFrom([]int{0, 20, 90, 100, 400}).Draw(rt, "used")}
+					w.balancer(rt).HandleMessage(c.now, c.agentOf(w.host(rt)), &m)
+				}
 			},
 			"wait": func(rt *rapid.T) {
 				c.now += clock.Millis(rapid.IntRange(100, 1500).Draw(rt, "ms"))
--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -166,6 +166,7 @@
 // the load that were not sent or not answered in time. Call it about once a second, and
 // every few milliseconds while SYNs are queued.
 func (a *Agent) Tick(now clock.Millis) {
+	a.observeLoad(now)
 	for key, e := range a.flows {
 		switch {
 		case e.inLoad && (now-e.since >= maxServiceTime || !e.gotRequest && e.phase != opening && now-e.since >= a.requestTimeout()):
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -63,6 +63,12 @@
 	CheckAck
 	// A search asks only the agents that were among the first for the flow when it opened.
 	BoundSearch
+	// With Balancer.ByRoom, new flows visit their candidates in the order of a draw by
+	// estimated spare capacity.
+	OrderByRoom
+	// With Balancer.ByRoom, a new flow queues at a busy server if another visit would take
+	// longer than it saves.
+	QueueEarly
 	mechanismCount // not a mechanism
 )
 
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -144,6 +144,7 @@
 // of a queue that takes longer than that to drain, or the agent shuts down. Release
 // returns false if there is none. Call it until then.
 func (a *Agent) Release(now clock.Millis) (Release, bool) {
+	a.observeLoad(now)
 	if a.shuttingDown && a.queue.length() > 0 {
 		p := a.queue.take(0)
 		p.message.LastOffer, p.message.LeastBusy, p.message.VisitedCount = false, 0, 0 // the others may have a free slot by now
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -187,6 +187,7 @@
 			b.forget(id)
 		}
 	}
+	b.retainRooms(view)
 	if b.Disabled.Has(AwaitAgents) {
 		return
 	}
