--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -92,7 +92,7 @@
 	hasReport    bool
 	sent         int // flows sent since the report
 	sentAt       clock.Millis
-	roundTrip    float64 // milliseconds
+	roundTrip    float64 // milliseconds, 0 until it is measured
 	hasRoundTrip bool
 }
 
@@ -222,9 +222,9 @@
 	return t.typical
 }
 
-// estimate returns the estimated utilization of a server. Call refresh before.
-func (t *Table) estimate(now clock.Millis, c Candidate) float64 {
-	e := t.known(c.Agent)
+// estimate returns the estimated utilization of a server with an entry, which may be nil,
+// and a number of slots. Call refresh before.
+func (t *Table) estimate(now clock.Millis, e *entry, slots int) float64 {
 	if e == nil {
 		return t.mean
 	}
@@ -233,7 +233,7 @@
 		used *= t.typical / e.serviceTime
 	}
 	u := t.mean + (used-t.mean)*e.trust(now)
-	return u + float64(e.sentSince(now))/float64(max(1, c.Slots))
+	return u + float64(e.sentSince(now))/float64(max(1, slots))
 }
 
 // spare returns the spare share of a server's slots by its utilization.
@@ -244,15 +244,6 @@
 	return max(1-utilization, crowded/utilization)
 }
 
-// roundTrip returns the measured round trip to an agent in milliseconds, 0 if it is not
-// known.
-func (t *Table) roundTrip(agent place.ID) float64 {
-	if e := t.known(agent); e != nil && e.hasRoundTrip {
-		return e.roundTrip
-	}
-	return 0
-}
-
 // Order sorts the candidates of a new flow by a draw that the flow's hash determines: the
 // chance to come first grows with the estimated spare capacity. Balancers with the same
 // reports so spread their flows, and copies of a SYN visit the servers in the same order.
@@ -260,21 +251,31 @@
 // have more spare capacity. The order remains if no report of a candidate is known.
 func (t *Table) Order(now clock.Millis, hash uint64, candidates []Candidate, keepFirst bool) {
 	candidates = candidates[:min(len(candidates), maxOrdered)]
-	if len(candidates) < 2 || !t.knowsAny(now, candidates) {
+	var entries [maxOrdered]*entry
+	var keys [maxOrdered]float64
+	nearest, anyReport := math.Inf(1), false
+	for i, c := range candidates {
+		e := t.known(c.Agent)
+		if entries[i] = e; e == nil {
+			nearest = 0
+			continue
+		}
+		nearest = min(nearest, e.roundTrip)
+		anyReport = anyReport || e.trust(now) > 0
+	}
+	if len(candidates) < 2 || !anyReport {
 		return
 	}
 	t.refresh(now)
-	var keys [maxOrdered]float64
-	nearest := math.Inf(1)
-	for _, c := range candidates {
-		nearest = min(nearest, t.roundTrip(c.Agent))
-	}
 	first, best := 0.0, 0.0
 	for i, c := range candidates {
-		// A longer way costs each request of the flow as much as that share of a service
-		// time spent waiting.
-		detour := max(0, t.roundTrip(c.Agent)-nearest) / t.typicalOrDefault()
-		share := spare(t.estimate(now, c) + detour)
+		utilization := t.estimate(now, entries[i], c.Slots)
+		if e := entries[i]; e != nil {
+			// A longer way costs each request of the flow as much as that share of a service
+			// time spent waiting.
+			utilization += (e.roundTrip - nearest) / t.typicalOrDefault()
+		}
+		share := spare(utilization)
 		if i == 0 {
 			first = share
 		}
@@ -296,16 +297,6 @@
 	}
 }
 
-// knowsAny reports whether a report of one of the candidates is known.
-func (t *Table) knowsAny(now clock.Millis, candidates []Candidate) bool {
-	for _, c := range candidates {
-		if e := t.known(c.Agent); e != nil && e.trust(now) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // QueuesEarly reports whether a new flow that busy servers have denied queues at the least
 // busy of them rather than visit another one: its requests, in percent of its slots, are no
 // more than those of the mean server, so another visit is as likely to find a longer queue.
--- a/pkg/steer/bench_test.go
+++ b/pkg/steer/bench_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"testing"
 
+	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 )
 
@@ -85,3 +86,24 @@
 		})
 	}
 }
+
+// A new flow of a service with 42 servers, with and without ByRoom.
+func BenchmarkBalancerNewFlow(b *testing.B) {
+	for _, byRoom := range []bool{false, true} {
+		b.Run(fmt.Sprint("ByRoom=", byRoom), func(b *testing.B) {
+			c := newCluster(b, 42, 1)
+			balancer := c.balancers[0]
+			balancer.ByRoom = byRoom
+			for id := range c.hosts {
+				c.report(balancer, id, 80, 30)
+			}
+			var m steer.Message
+			port := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				port = (port + 1) % 60_000
+				balancer.FromCaller(c.now+clock.Millis(port/2), steer.Packet{Key: key(port), SYN: true}, &m)
+			}
+		})
+	}
+}
