--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -23,7 +23,7 @@
 const (
 	// halfTrust is the age at which an estimate is halfway between the report and the mean
 	// of the service. A report loses its worth as flows end and others open, which live for
-	// tens of seconds. Simulated with 1, 4 and 16 s, the spread of load differs by a tenth.
+	// tens of seconds. Simulated with 1, 4 and 16 s, the spread of load differed by 7 %.
 	halfTrust = 8 * clock.Second
 	// sentLife is how long a flow that was sent to a server counts if no report has come
 	// since, for example because the message was lost.
@@ -48,8 +48,8 @@
 	// longer way.
 	roomy = 0.5
 	// queueFrom is the utilization of the mean server from which on flows queue early. Below
-	// it, further visits still find free slots at times: from 1 on, half as many requests
-	// more were late in the simulation at 1.9 times the usual load, for 0.1 denials less.
+	// it, further visits still find free slots at times: from 1 on, a quarter more requests
+	// were late in the simulation at 1.9 times the usual load, for 0.1 denials less.
 	queueFrom = 1.25
 	// fullQueue is the utilization of the mean server from which on all visits find queues
 	// and none a free slot. Then a longer wait is accepted than the mean, by queueSlack of
@@ -60,7 +60,8 @@
 	// suspectFactor is by how much a server must be faster than the median to count as one
 	// that may answer with errors. It then counts as used as if its requests took as long as
 	// elsewhere, so that it receives its share of the flows and no more. Otherwise its idle
-	// slots would attract flows: in the simulation, 1.6 to 1.9 times as many requests failed.
+	// slots would attract flows: in the simulation, 1.6 to 1.9 times as many requests failed
+	// as in the order of the hash.
 	// Of servers of the same kind, averages rarely differ by that much.
 	suspectFactor = 2
 	// minReports is the number of servers of which reports must be known to judge by their
