--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -180,6 +180,7 @@
 // every few milliseconds while SYNs are queued.
 func (a *Agent) Tick(now clock.Millis) {
 	a.overdue = 0
+	a.observeLoad(now)
 	for key, e := range a.flows {
 		switch {
 		case e.inLoad && (now-e.since >= maxServiceTime || !e.gotRequest && e.phase != opening && now-e.since >= a.requestTimeout()):
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -155,6 +155,7 @@
 // returns false if there is none. Call it until then. With AllWork it also returns
 // requests of open flows, which are always delivered unless the server is gone.
 func (a *Agent) Release(now clock.Millis) (Release, bool) {
+	a.observeLoad(now)
 	if a.AllWork {
 		return a.releaseHeld(now)
 	}
