Judge servers by the traffic that their agents see

Cause: a server that hangs, resets, stays silent or is slow keeps its share of new flows for as long as its entry says that it is ready.

Change: package health judges a server by the results of its requests. An agent with the setting Health "ByTraffic" denies new flows while 12 of the last 32 requests have failed, lets trials and last offers through, and delivers all packets of open flows. Without the setting nothing changes. The mechanism EjectUnhealthy switches the denials off.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -83,6 +83,9 @@
 	a.queueTimer = time.NewTimer(queueInterval)
 	a.balancers = make(map[netip.AddrPort]bool)
 	a.registerMetrics()
+	if a.Settings.Health == setup.HealthByTraffic {
+		a.judgeServer()
+	}
 	return nil
 }
 
@@ -138,7 +141,7 @@
 	}
 	go a.readBalancers()
 	go a.readServer()
-	go runEvery(background, time.Second, a.queueTimer.C, &a.mu, a.tick)
+	go runEvery(background, a.tickInterval(), a.queueTimer.C, &a.mu, a.tick)
 	a.Log.Info("started", "server", a.Settings.Server, "service", a.Settings.Service)
 	<-ctx.Done()
 	a.announceShutdown()
@@ -161,7 +164,7 @@
 		a.Log.Warn("belief", "subject", "service of the server", "state", settings.Service)
 	}
 	setLogLevel(a.Log, settings.Path.LogLevel)
-	if needsStart(a.Settings.Path, settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server {
+	if needsStart(a.Settings.Path, settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server || settings.Health != a.Settings.Health {
 		a.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -32,12 +32,20 @@
 	CacheFlows int // capacity of the cache of flow owners, in flows; 0 means the default
 }
 
+// HealthByTraffic is the value of PathAgent.Health with which the agent judges its server
+// by the requests that it sees.
+const HealthByTraffic = "ByTraffic"
+
 // PathAgent is the settings file of an agent of internal/path.
 type PathAgent struct {
 	Path     Path
 	Outbound string // address and UDP port that receives the server's packets
 	Server   string // address and UDP port of the server
 	Service  string // name of the server's service
+	// Health is HealthByTraffic if the agent denies new flows while its server fails too many
+	// requests, and empty if it does not judge the server. It is left out if empty, for
+	// processes of earlier versions, which do not know it.
+	Health string `json:",omitempty"`
 }
 
 // ReadPathBalancer reads and checks the settings file of a balancer of internal/path.
@@ -62,6 +70,9 @@
 		if s.Service == "" {
 			c.addError("Service", "must be set")
 		}
+		if s.Health != "" && s.Health != HealthByTraffic {
+			c.addError("Health", "is %q, want %q or nothing", s.Health, HealthByTraffic)
+		}
 	})
 }
 
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -22,6 +22,8 @@
 		{"no port", `"Packets": "127.0.0.1:1"`, `"Packets": "127.0.0.1"`, "Path.Packets"},
 		{"unknown log level", `"Name": "a"`, `"Name": "a", "LogLevel": "loud"`, "Path.LogLevel"},
 		{"no service", `"desk"`, `""`, "Service"},
+		{"health by traffic", `"desk"`, `"desk", "Health": "ByTraffic"`, ""},
+		{"unknown kind of health", `"desk"`, `"desk", "Health": "ByProbes"`, "Health"},
 		{"unknown field", `"Service"`, `"Servise"`, "Servise"},
 		{"invalid JSON", `{`, ``, "agent.json"},
 	} {
@@ -63,4 +65,7 @@
 	for _, field := range []string{"DrainMs", "ConfigMs", "Disabled"} {
 		assert.Assert(t, !strings.Contains(string(raw), field), "%s", raw)
 	}
+	raw, err = json.Marshal(setup.PathAgent{})
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(raw), "Health"), "%s", raw)
 }
--- /dev/null
+++ b/pkg/health/health_test.go
@@ -0,0 +1,263 @@
+package health_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/health"
+	"gotest.tools/v3/assert"
+)
+
+const seeds = 20
+
+// A faulty server that is never judged bad fails its share of callers until an operator
+// notices.
+func TestFaultIsDetected(t *testing.T) {
+	for _, row := range []struct {
+		service service
+		kind    serverKind
+		rate    float64      // requests a second, 0 for the usual
+		unknown bool         // the typical time is not known
+		within  clock.Millis // time to detection in the worst of the runs
+	}{
+		{linen, hanging, 0, false, 3000},
+		{linen, hanging, 10, false, 8000},
+		{linen, hanging, 100, false, 3000},
+		{linen, hanging, 0, true, 8000},
+		{linen, blocking, 0, false, 5000},
+		{linen, resetting, 0, false, 4000},
+		{linen, resetting, 10, false, 8000},
+		{linen, resetting, 100, false, 4000},
+		{linen, resetting, 0, true, 4000},
+		{linen, mute, 0, false, 2000},
+		{linen, mute, 10, false, 4000},
+		{linen, mute, 0, true, 3000},
+		{linen, slow, 0, false, 4000},
+		{linen, slow, 5, false, 8000},
+		{linen, slow, 100, false, 4000},
+		{linen, flapping, 0, false, 4000},
+		{quito, hanging, 0, false, 4000},
+		{quito, blocking, 0, false, 5000},
+		{quito, resetting, 0, false, 4000},
+		{quito, mute, 0, false, 2000},
+		{quito, slow, 0, false, 4000},
+		{quito, flapping, 0, false, 4000},
+		{downloads, hanging, 0, false, 8000},
+		{downloads, blocking, 0, false, 15_000},
+		{downloads, resetting, 0, false, 8000},
+		{downloads, mute, 0, false, 6000},
+		{downloads, flapping, 0, false, 15_000},
+	} {
+		name := fmt.Sprint(row.service.name, " ", row.kind, " ", row.rate, " ", row.unknown)
+		t.Run(name, func(t *testing.T) {
+			worst, sum := clock.Millis(0), clock.Millis(0)
+			for seed := range uint64(seeds) {
+				s := newSim(row.service, row.kind, seed)
+				if row.rate > 0 {
+					s.rate = row.rate
+				}
+				if row.unknown {
+					s.d.Typical = 0
+				}
+				start := s.now
+				s.run(30 * clock.Second)
+				assert.Assert(t, len(s.changes) > 0 && s.changes[0].Bad, "seed %d: not detected", seed)
+				took := s.changeAt[0] - start
+				worst, sum = max(worst, took), sum+took
+			}
+			t.Logf("%s: detected after %v in the mean of %d runs, %v at worst", name, sum/seeds, seeds, worst)
+			assert.Assert(t, worst <= row.within)
+		})
+	}
+}
+
+// Contents are opaque: responses that report an error or a refusal are answers. They can
+// only be seen as quick ones, and do not change the verdict.
+func TestQuickAnswersAreCountedAndNotJudged(t *testing.T) {
+	s := newSim(linen, failing, 1)
+	s.run(clock.Minute)
+	status := s.d.Status()
+	assert.Equal(t, len(s.changes), 0)
+	assert.Assert(t, status.Quick*10 >= status.Sound*3, "%+v", status)
+	healthy := newSim(linen, sound, 1)
+	healthy.run(clock.Minute)
+	assert.Equal(t, healthy.d.Status().Quick, uint64(0))
+}
+
+// A false verdict takes capacity from a service, most of all when it is short.
+func TestSoundServerIsNotJudgedBad(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		service  service
+		kind     serverKind
+		load     float64 // share of what the slots can do
+		duration clock.Millis
+		change   func(*sim)
+	}{
+		{"linen, quiet", linen, sound, 0.2, 20 * clock.Minute, nil},
+		{"linen, busy", linen, sound, 0.8, 20 * clock.Minute, nil},
+		{"linen, busy, exponential", linen, sound, 0.8, 20 * clock.Minute, func(s *sim) { s.exponential = true }},
+		{"linen, overloaded", linen, sound, 2, 10 * clock.Minute, nil},
+		{"linen, overloaded, exponential", linen, sound, 2, 10 * clock.Minute, func(s *sim) { s.exponential = true }},
+		{"linen, overloaded, typical time unknown", linen, sound, 2, 10 * clock.Minute, func(s *sim) { s.d.Typical = 0 }},
+		{"linen, overloaded with a long queue", linen, sound, 1.5, 2 * clock.Minute, func(s *sim) { s.queue = 200 }},
+		{"linen, cold at times", linen, cold, 0.8, 10 * clock.Minute, nil},
+		{"linen, cold at times and overloaded", linen, cold, 2, 10 * clock.Minute, nil},
+		{"quito, quiet", quito, sound, 0.2, 20 * clock.Minute, nil},
+		{"quito, busy", quito, sound, 0.8, 20 * clock.Minute, nil},
+		{"quito, overloaded", quito, sound, 2, 10 * clock.Minute, nil},
+		{"quito, overloaded, exponential", quito, sound, 2, 10 * clock.Minute, func(s *sim) { s.exponential = true }},
+		{"quito, cold at times and overloaded", quito, cold, 2, 10 * clock.Minute, nil},
+		{"downloads, quiet", downloads, sound, 0.05, 20 * clock.Minute, nil},
+		{"downloads, overloaded", downloads, sound, 2, 10 * clock.Minute, nil},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var failed, judged uint64
+			for seed := range uint64(5) {
+				s := newSim(row.service, row.kind, seed)
+				s.rate = row.load * 1000 * float64(s.slots) / s.work / 1.18 // the mean service time is 1.18 times the usual one
+				if row.change != nil {
+					row.change(s)
+				}
+				s.run(row.duration)
+				assert.Equal(t, len(s.changes), 0, "seed %d", seed)
+				for _, n := range s.d.Status().Failed {
+					failed += n
+				}
+				judged += s.d.Status().Sound
+			}
+			t.Logf("%s: %d of %d requests counted as failed", row.name, failed, failed+judged)
+			assert.Assert(t, failed*10 <= judged, "a share near the limit")
+		})
+	}
+}
+
+// A server that has recovered and is not used again is lost capacity.
+func TestRecoveredServerReturns(t *testing.T) {
+	for _, kind := range []serverKind{hanging, blocking, resetting, mute, slow, flapping} {
+		worst, sum := clock.Millis(0), clock.Millis(0)
+		for seed := range uint64(seeds) {
+			s := newSim(linen, kind, seed)
+			s.trials = true
+			for !s.d.Bad() {
+				s.run(100)
+			}
+			s.run(100)
+			s.kind = sound
+			start := s.now
+			s.run(30 * clock.Second)
+			assert.Assert(t, !s.d.Bad(), "%s, seed %d", kind, seed)
+			took := s.changeAt[len(s.changeAt)-1] - start
+			worst, sum = max(worst, took), sum+took
+		}
+		t.Logf("%s: returned after %v in the mean of %d runs, %v at worst", kind, sum/seeds, seeds, worst)
+		assert.Assert(t, sum/seeds <= 10*clock.Second && worst <= 20*clock.Second, kind)
+	}
+}
+
+// If trials let the server return too easily, callers meet it again and again.
+func TestFaultyServerReceivesFewRequests(t *testing.T) {
+	for _, kind := range []serverKind{hanging, blocking, resetting, mute, slow, flapping} {
+		var received, failed, without int
+		for seed := range uint64(5) {
+			s := newSim(linen, kind, seed)
+			s.trials = true
+			s.run(2 * clock.Minute)
+			received, failed = received+s.received, failed+s.failed
+			other := newSim(linen, kind, seed)
+			other.run(2 * clock.Minute)
+			without += other.failed
+		}
+		t.Logf("%s: %d requests received, %d failed, %d without the detector", kind, received/5, failed/5, without/5)
+		assert.Assert(t, received < 120*40, kind)
+		assert.Assert(t, failed*4 <= without, kind)
+	}
+}
+
+// Flows end in normal operation too. If that counted as failures, a server that drains
+// or whose callers lose interest would be ejected.
+func TestNormalEndsAreNoFailures(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		end  func(d *health.Detector, now clock.Millis, r *health.Request)
+	}{
+		{"the server closes the flow", func(d *health.Detector, now clock.Millis, r *health.Request) { d.Discard(now, r) }},
+		{"the caller aborts", func(d *health.Detector, now clock.Millis, r *health.Request) { d.GivenUp(now+50, r) }},
+		{"a reset without a request", func(d *health.Detector, now clock.Millis, r *health.Request) {
+			d.Answered(now+20, r)
+			d.WasReset(now+30, r)
+		}},
+		{"a lost packet is repeated", func(d *health.Detector, now clock.Millis, r *health.Request) {
+			d.WasRepeated(now+90, r)
+			d.Answered(now+95, r)
+		}},
+		{"the process was paused", func(d *health.Detector, now clock.Millis, r *health.Request) {
+			d.Tick(now + 1000)
+			assert.Assert(t, !d.NotOpened(now+1000))
+			d.Answered(now+1001, r)
+		}},
+	} {
+		d := health.Detector{Slots: 2, Typical: 24}
+		now := clock.Millis(1_000_000)
+		for range 100 {
+			var r health.Request
+			d.Begin(now, &r, 200)
+			row.end(&d, now, &r)
+			now += 2000
+		}
+		assert.Equal(t, d.Status().Failed, [health.Kinds]uint64{}, row.name)
+		assert.Assert(t, !d.Bad(), row.name)
+	}
+}
+
+// A caller that gives up after its goal is the only sign of a hanging server if the
+// typical time is not known and the limit has not passed.
+func TestAbandonedRequestsCount(t *testing.T) {
+	d := health.Detector{Slots: 2}
+	now := clock.Millis(1_000_000)
+	for range 11 {
+		var r health.Request
+		d.Begin(now, &r, 200)
+		d.GivenUp(now+250, &r)
+		now += 1000
+	}
+	assert.Equal(t, d.Status().Failed[health.Abandoned], uint64(11))
+	assert.Assert(t, !d.Bad())
+	var r health.Request
+	d.Begin(now, &r, 200)
+	d.GivenUp(now+250, &r)
+	assert.Assert(t, d.Bad())
+}
+
+// The packet path of a known flow must not allocate.
+func TestNoAllocation(t *testing.T) {
+	d := health.Detector{Slots: 1, Typical: 24}
+	var r, other health.Request
+	now := clock.Millis(1_000_000)
+	assert.Equal(t, testing.AllocsPerRun(1000, func() {
+		d.Begin(now, &r, 200)
+		d.Begin(now, &other, 200)
+		d.WasRepeated(now, &r)
+		d.WasReset(now+5, &r)
+		d.Answered(now+10, &other)
+		d.Tick(now)
+		now += 20
+	}), 0.0)
+}
+
+func ExampleDetector() {
+	d := health.Detector{Slots: 2, Typical: 24, Changed: func(c health.Change) {
+		fmt.Printf("bad %v: %d of %d requests failed, %d of them reset\n", c.Bad, c.Failed, c.Requests, c.ByKind[health.Reset])
+	}}
+	var r health.Request
+	for now := clock.Millis(1_000_000); !d.Bad(); now += 50 {
+		d.Begin(now, &r, 200)
+		if now%100 == 0 {
+			d.Answered(now+25, &r)
+		} else {
+			d.WasReset(now+5, &r)
+		}
+	}
+	// Output: bad true: 12 of 24 requests failed, 12 of them reset
+}
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -5,6 +5,7 @@
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
+	"dogwoodlanding.example/dogwood/pkg/health"
 )
 
 // Times and limits of an agent.
@@ -41,6 +42,7 @@
 	Returned   uint64 // packets that the server did not accept
 	Restarts   uint64 // packets returned of flows that the server had accepted: it must have restarted
 	Overloaded uint64 // queued SYNs denied because their wait was or would be too long
+	Unhealthy  uint64 // SYNs denied because the server fails too many requests
 }
 
 // Agent decides which packets its server receives. Set the exported fields before the
@@ -55,6 +57,11 @@
 	// FlowLife is the longest life of a flow. 0 means DefaultFlowLife.
 	FlowLife clock.Millis
 	Disabled MechanismSet
+	// JudgeServer makes the agent deny new flows while its server fails too many requests.
+	// Call Tick each health.TickInterval then.
+	JudgeServer bool
+	// HealthChanged, if set, is called on each change of the verdict on the server.
+	HealthChanged func(health.Change)
 	// Answered, if set, is called for each answer with the time from the request to
 	// the answer's first byte and the response-time goal of the route, 0 if it has none.
 	Answered func(took, goal clock.Millis)
@@ -95,6 +102,8 @@
 	// first byte of its answer.
 	meanServiceTime float64
 	queue           queue
+	health          health.Detector
+	evictions       int          // SYNs at the head of the queue that came before the server was judged bad
 	discardSYNUntil clock.Millis // until then, SYNs may be from before a suspension
 	// meanRequestDelay is the moving average of the milliseconds from the server's
 	// SYN-ACK to the request.
@@ -120,6 +129,7 @@
 func (a *Agent) init(now clock.Millis) {
 	if a.flows == nil {
 		a.startedAt, a.flows = now, make(map[flow.Key]*flowEntry)
+		a.health.Changed = a.healthChanged
 	}
 }
 
@@ -147,6 +157,7 @@
 func (a *Agent) FromBalancer(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
 	a.init(now)
 	a.updateServer(now, m)
+	a.updateHealth(m)
 	m.Key, m.AgentStartMs = p.Key, 0
 	if m.Service != a.Service && m.Service != ServiceOf("") {
 		return a.deny(from, m, WrongService)
@@ -194,7 +205,7 @@
 // deny turns m into the message that goes back with a denied packet.
 func (a *Agent) deny(to netip.AddrPort, m *Message, reason Reason) Outcome {
 	a.counts.Denied++
-	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.Load(), a.Slots
+	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.reportedLoad(reason), a.Slots
 	a.Report(m)
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
@@ -231,7 +242,7 @@
 // open delivers the SYN of a flow to the server.
 func (a *Agent) open(now clock.Millis, from netip.AddrPort, m *Message, p Packet) Outcome {
 	if e := a.flows[p.Key]; e != nil {
-		a.deleteFlow(p.Key, e)
+		a.deleteFlow(now, p.Key, e)
 	}
 	stored := *m
 	e := &flowEntry{phase: opening, balancer: from, lastSeen: now, since: now, message: &stored, goal: m.Goal}
@@ -258,14 +269,16 @@
 	case a.serverGone(now):
 		return ServerGone
 	case a.serverSilent(now) && !a.Disabled.Has(ProbeSilentServer):
-		if now-a.lastProbe < probeInterval {
+		if !a.mayProbe(now) {
 			return ServerSilent
 		}
-		a.lastProbe = now
 	case a.coldLimitReached(now):
 		return Cold
 	case a.Slots > 0 && a.load >= a.Slots && !m.LastOffer && !a.Disabled.Has(PassOn):
 		return Busy
+	case a.avoidsNewFlows() && !m.LastOffer && !a.health.LetThrough(now):
+		a.counts.Unhealthy++
+		return Busy
 	}
 	return NoReason
 }
@@ -404,6 +417,7 @@
 	}
 	m.Key, m.AgentStartMs = p.Key, 0
 	a.setInLoad(e, false, now)
+	a.health.Discard(now, &e.request)
 	if e.message == nil {
 		e.message = &Message{}
 	}
@@ -422,7 +436,8 @@
 // SetService assigns the agent to another service and resets all state of the server. It
 // keeps FlowLife, the callbacks, the counters and the effect of BeginShutdown.
 func (a *Agent) SetService(service ServiceID) {
-	*a = Agent{Service: service, StartMs: a.StartMs, FlowLife: a.FlowLife, Disabled: a.Disabled, Answered: a.Answered, Unanswered: a.Unanswered, counts: a.counts, shuttingDown: a.shuttingDown}
+	*a = Agent{Service: service, StartMs: a.StartMs, FlowLife: a.FlowLife, Disabled: a.Disabled, Answered: a.Answered, Unanswered: a.Unanswered,
+		JudgeServer: a.JudgeServer, HealthChanged: a.HealthChanged, counts: a.counts, shuttingDown: a.shuttingDown}
 }
 
 // RecordSuspension records that the process was suspended. It discards the queue, and
@@ -430,7 +445,8 @@
 // view, and their callers have given up.
 func (a *Agent) RecordSuspension(now clock.Millis) {
 	a.discardSYNUntil = now + backlogTime
-	a.queue = queue{}
+	a.queue, a.evictions = queue{}, 0
+	a.health.Forget(now)
 }
 
 // BeginShutdown denies all new flows from now on, since the process is about to end, and
--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -5,6 +5,7 @@
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
+	"dogwoodlanding.example/dogwood/pkg/health"
 )
 
 // DefaultFlowLife is the longest life of a flow if the settings do not set one.
@@ -64,6 +65,8 @@
 	finished     uint8        // directions that have ended: callerDone, serverDone
 	message      *Message     // to send back if the server returns the packet
 	goal         clock.Millis // response-time goal of the route
+	request      health.Request
+	notOpened    bool // Agent.health has recorded that the server left the SYN unanswered
 }
 
 // Directions of a flow whose sender has sent a FIN.
@@ -83,13 +86,16 @@
 
 // trackCaller updates a flow by a packet of the caller.
 func (a *Agent) trackCaller(now clock.Millis, p Packet, e *flowEntry) {
+	isNew := false
 	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.dataEnd == 0 || int32(end-e.dataEnd) > 0) {
 		if !e.gotRequest && e.hasServerISN {
 			a.meanRequestDelay += (float64(now-e.since) - a.meanRequestDelay) * meanWeight
 		}
 		e.dataEnd, e.gotRequest = end, true
 		a.setInLoad(e, true, now)
+		isNew = true
 	}
+	a.judgeCaller(now, p, e, isNew)
 	if p.FIN {
 		e.finished |= callerDone
 	}
@@ -122,19 +128,22 @@
 // endFlow marks a flow as ended and removes it from the load.
 func (a *Agent) endFlow(now clock.Millis, e *flowEntry) {
 	a.setInLoad(e, false, now)
+	a.health.Discard(now, &e.request)
 	if e.phase != ended {
 		e.phase, e.since = ended, now
 	}
 }
 
 // deleteFlow deletes the record of a flow and removes it from the load.
-func (a *Agent) deleteFlow(key flow.Key, e *flowEntry) {
+func (a *Agent) deleteFlow(now clock.Millis, key flow.Key, e *flowEntry) {
 	a.setInLoad(e, false, 0)
+	a.health.Discard(now, &e.request)
 	delete(a.flows, key)
 }
 
 // trackServer updates a flow by a packet of the server.
 func (a *Agent) trackServer(now clock.Millis, p Packet, e *flowEntry) {
+	a.judgeServer(now, p, e)
 	if p.Bytes > 0 && e.inLoad {
 		a.recordServiceTime(now - e.since)
 		if a.Answered != nil {
@@ -166,7 +175,11 @@
 // the load that were not sent or not answered in time. Call it about once a second, and
 // every few milliseconds while SYNs are queued.
 func (a *Agent) Tick(now clock.Millis) {
+	if a.JudgeServer {
+		a.health.Tick(now)
+	}
 	for key, e := range a.flows {
+		a.judgeOpening(now, e)
 		switch {
 		case e.inLoad && (now-e.since >= maxServiceTime || !e.gotRequest && e.phase != opening && now-e.since >= a.requestTimeout()):
 			if e.gotRequest && a.Unanswered != nil {
@@ -174,7 +187,7 @@
 			}
 			a.setInLoad(e, false, now)
 		case e.phase == ended && now-e.since >= endedFlowTime, now-e.lastSeen >= flowLifeOrDefault(a.FlowLife):
-			a.deleteFlow(key, e)
+			a.deleteFlow(now, key, e)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/steer/health.go
@@ -0,0 +1,106 @@
+package steer
+
+import (
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/health"
+)
+
+// unhealthyLoad is the load for each slot that is added to what a server that fails too
+// many requests reports, so that the least busy server is another one. A sound server with
+// four requests for each slot takes five service times, which is within usual goals; with
+// more, the rest is better off at a bad one.
+const unhealthyLoad = 4
+
+// Health returns the verdict on the server and the counters behind it.
+func (a *Agent) Health() health.Status { return a.health.Status() }
+
+// updateHealth takes what the judgement depends on from a balancer's message.
+func (a *Agent) updateHealth(m *Message) {
+	a.health.Slots = a.Slots
+	if m.TypicalTime > 0 {
+		a.health.Typical = m.TypicalTime
+	}
+}
+
+// healthChanged handles a change of the verdict. SYNs that wait in the queue of a bad
+// server are denied, so that they go to others.
+func (a *Agent) healthChanged(c health.Change) {
+	if c.Bad && !a.Disabled.Has(EjectUnhealthy) {
+		a.evictions = a.queue.length()
+	}
+	if a.HealthChanged != nil {
+		a.HealthChanged(c)
+	}
+}
+
+// avoidsNewFlows reports whether the server fails too many requests to receive new flows.
+func (a *Agent) avoidsNewFlows() bool { return a.health.Bad() && !a.Disabled.Has(EjectUnhealthy) }
+
+// reportedLoad returns the load to report with a denial.
+func (a *Agent) reportedLoad(reason Reason) int {
+	if reason == Busy && a.avoidsNewFlows() {
+		return a.Load() + unhealthyLoad*a.Slots
+	}
+	return a.Load()
+}
+
+// mayProbe reports whether a new flow may probe a silent server, and counts it if so.
+func (a *Agent) mayProbe(now clock.Millis) bool {
+	if a.avoidsNewFlows() {
+		return a.health.LetThrough(now)
+	}
+	if now-a.lastProbe < probeInterval {
+		return false
+	}
+	a.lastProbe = now
+	return true
+}
+
+// evict denies the first SYN of the queue, which may open its flow at another server.
+func (a *Agent) evict(now clock.Millis) Release {
+	a.evictions--
+	a.counts.Unhealthy++
+	p := a.queue.take(0)
+	p.message.LastOffer, p.message.LeastBusy, p.message.VisitedCount = false, 0, 0
+	return a.release(now, p, Busy)
+}
+
+// judgeCaller records what a caller's packet tells of its request. isNew says that the
+// packet carries data that the caller has not sent before.
+func (a *Agent) judgeCaller(now clock.Millis, p Packet, e *flowEntry, isNew bool) {
+	switch {
+	case !a.JudgeServer:
+	case isNew && !p.RST:
+		a.health.Begin(now, &e.request, e.goal)
+	case p.RST, p.FIN && p.Bytes == 0: // with data, the caller only has no more to send
+		a.health.GivenUp(now, &e.request)
+	case p.Bytes > 0:
+		a.health.WasRepeated(now, &e.request)
+	}
+}
+
+// judgeServer records what a packet of the server tells of its request. A server that
+// drains or closes the flow without an answer does not fail: it ends idle flows, while a
+// request may be on its way.
+func (a *Agent) judgeServer(now clock.Millis, p Packet, e *flowEntry) {
+	switch {
+	case !a.JudgeServer:
+	case p.Bytes > 0:
+		a.health.Answered(now, &e.request)
+	case p.RST && a.state == Serving && e.finished&serverDone == 0:
+		a.health.WasReset(now, &e.request)
+	case p.RST, p.FIN:
+		a.health.Discard(now, &e.request)
+	}
+}
+
+// judgeOpening records a SYN that the server has left unanswered. Its flow leaves the
+// load: otherwise the next SYNs, which show whether the server answers again, would wait
+// for a slot.
+func (a *Agent) judgeOpening(now clock.Millis, e *flowEntry) {
+	if a.JudgeServer && e.phase == opening && !e.notOpened && a.state == Serving && now-e.since >= serverAnswerTimeout {
+		if e.notOpened = a.health.NotOpened(now); e.notOpened {
+			a.setInLoad(e, false, now)
+		}
+	}
+}
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -63,6 +63,8 @@
 	CheckAck
 	// A search asks only the agents that were among the first for the flow when it opened.
 	BoundSearch
+	// A server that fails too many requests receives new flows only as trials.
+	EjectUnhealthy
 	mechanismCount // not a mechanism
 )
 
--- a/pkg/steer/mechanism_string.go
+++ b/pkg/steer/mechanism_string.go
@@ -32,12 +32,13 @@
 	_ = x[AssumeCold-21]
 	_ = x[CheckAck-22]
 	_ = x[BoundSearch-23]
-	_ = x[mechanismCount-24]
+	_ = x[EjectUnhealthy-24]
+	_ = x[mechanismCount-25]
 }
 
-const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAckBoundSearchnot a mechanism"
+const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAckBoundSearchEjectUnhealthynot a mechanism"
 
-var _Mechanism_index = [...]uint16{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 129, 135, 140, 151, 158, 169, 180, 188, 198, 215, 225, 233, 244, 259}
+var _Mechanism_index = [...]uint16{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 129, 135, 140, 151, 158, 169, 180, 188, 198, 215, 225, 233, 244, 258, 273}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/queue.go
+++ b/pkg/steer/queue.go
@@ -141,7 +141,8 @@
 
 // Release removes and returns the next SYN of the queue that can be decided on. It is
 // delivered if a slot is free. It is denied if it has waited for maxQueueWait, is the last
-// of a queue that takes longer than that to drain, or the agent shuts down. Release
+// of a queue that takes longer than that to drain, its server was just judged bad, or the
+// agent shuts down. Release
 // returns false if there is none. Call it until then.
 func (a *Agent) Release(now clock.Millis) (Release, bool) {
 	if a.shuttingDown && a.queue.length() > 0 {
@@ -149,6 +150,9 @@
 		p.message.LastOffer, p.message.LeastBusy, p.message.VisitedCount = false, 0, 0 // the others may have a free slot by now
 		return a.release(now, p, Draining), true
 	}
+	if a.evictions > 0 && a.queue.length() > 0 {
+		return a.evict(now), true
+	}
 	for i, p := range a.queue.packets {
 		if now-p.enqueuedAt >= maxQueueWait {
 			return a.denyOverloaded(now, i), true
