Count no reset of a flow that has ended before

Cause: a server that resets an idle flow answers a request that was on its way with another reset. The agent took that for a failure of the request.

Change: only requests of flows that have not ended are judged. The new row of TestNormalEndsOfFlowsAreNoFailures failed before.

--- a/pkg/steer/health.go
+++ b/pkg/steer/health.go
@@ -86,7 +86,7 @@
 func (a *Agent) judgeCaller(now clock.Millis, p Packet, e *flowEntry, isNew bool) {
 	switch {
 	case !a.JudgeServer:
-	case isNew && !p.RST:
+	case isNew && !p.RST && e.phase != ended:
 		a.health.Begin(now, &e.request, e.goal)
 	case p.RST, p.FIN && p.Bytes == 0: // with data, the caller only has no more to send
 		a.health.GivenUp(now, &e.request)
--- a/pkg/steer/health_test.go
+++ b/pkg/steer/health_test.go
@@ -127,6 +127,12 @@
 			fromServer(a, now+1, port, steer.Packet{HasACK: true, FIN: true})
 			fromServer(a, now+2, port, steer.Packet{RST: true})
 		}, 0},
+		{"the server resets the idle flow while a request is on its way", steer.Serving, func(a *steer.Agent, now clock.Millis, port int) {
+			fromServer(a, now+20, port, steer.Packet{HasACK: true, Bytes: 10})
+			fromServer(a, now+30, port, steer.Packet{RST: true})
+			offer(a, now+31, steer.Packet{Key: key(port), HasACK: true, Ack: 8, Seq: 102, Bytes: 100}, steer.Serving)
+			fromServer(a, now+32, port, steer.Packet{RST: true})
+		}, 0},
 		{"the server does not hold the flow", steer.Serving, func(a *steer.Agent, now clock.Millis, port int) {
 			fromServer(a, now+1, port, steer.Packet{HasACK: true, Bytes: 100, Returned: true})
 		}, 0},
