--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -13,6 +13,7 @@
 	"dogwoodlanding.example/dogwood/internal/setup"
 	"dogwoodlanding.example/dogwood/pkg/burn"
 	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/health"
 	"dogwoodlanding.example/dogwood/pkg/sched"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform"
@@ -47,7 +48,7 @@
 	packets       *net.UDPConn            // for messages from and to balancers
 	outbound      *net.UDPConn            // for packets of the server and to callers
 	server        *net.UDPConn            // connected to the server
-	queueTimer    *time.Timer             // runs the timers early while SYNs are queued
+	queueTimer    *time.Timer             // runs the timers early while SYNs are queued or a judged server must answer
 	releaseBuffer []byte                  // of releaseQueued
 	packetPort    uint16                  // of callers, the same as that of packets
 	metricSet     *metrics.Set
@@ -91,6 +92,9 @@
 	a.balancers = make(map[netip.AddrPort]bool)
 	a.releaseBuffer = make([]byte, headroom, headroom+maxPacketBytes)
 	a.registerMetrics()
+	if a.Settings.Health == setup.HealthByTraffic {
+		a.judgeServer()
+	}
 	return nil
 }
 
@@ -194,7 +198,7 @@
 	}
 	setLogLevel(a.Log, settings.Path.LogLevel)
 	if needsStart(a.Settings.Path, settings.Path) || settings.Outbound != a.Settings.Outbound || settings.Server != a.Settings.Server ||
-		settings.Queue != a.Settings.Queue || settings.QueueOrder != a.Settings.QueueOrder {
+		settings.Queue != a.Settings.Queue || settings.QueueOrder != a.Settings.QueueOrder || settings.Health != a.Settings.Health {
 		a.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
@@ -291,8 +295,11 @@
 		raw := append(a.releaseBuffer[:headroom], r.Raw...)
 		a.execute(now, r.Outcome, r.Packet, r.Message, raw)
 	}
-	if a.core.QueueLength() > 0 {
+	switch {
+	case a.core.QueueLength() > 0:
 		a.queueTimer.Reset(queueInterval)
+	case a.core.AwaitsServer():
+		a.queueTimer.Reset(health.TickInterval.Duration())
 	}
 }
 
--- a/internal/path/catchup_test.go
+++ b/internal/path/catchup_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,16 +36,6 @@
 	return strings.Index(l.b.String(), text)
 }
 
-// metric returns the value of a metric of a balancer.
-func (f *fleet) metric(i int, name string) float64 {
-	f.t.Helper()
-	found := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (.*)$`).FindStringSubmatch(f.metricsPage("balancer", i))
-	assert.Assert(f.t, found != nil, "no metric %s", name)
-	value, err := strconv.ParseFloat(found[1], 64)
-	assert.NilError(f.t, err)
-	return value
-}
-
 // A host with 10 Mbit/s that the store had rejected while 30 versions of the configuration
 // were written fetched the history again and again, and discarded it. It must be current
 // within 5 s, act on the evacuation and the drain first, and fetch the state at most
@@ -76,7 +64,7 @@
 				history[i] = largeConfig(3+i, 240, 256<<10)
 			}
 			last := largeConfig(40, 1640, 900<<10)
-			before := f.metric(0, "dogwood_store_fetched_bytes_total")
+			before := f.metric("balancer", 0, "dogwood_store_fetched_bytes_total")
 			f.store.SetTrouble(row.trouble)
 			f.publish(0, "ready") // ends the watch that was served before
 			outage := time.Now()
@@ -103,10 +91,10 @@
 				at := f.logs.position(first)
 				assert.Assert(t, at >= 0 && at < configured, "%q stands at %d, the configuration at %d", first, at, configured)
 			}
-			fetched := f.metric(0, "dogwood_store_fetched_bytes_total") - before
+			fetched := f.metric("balancer", 0, "dogwood_store_fetched_bytes_total") - before
 			assert.Assert(t, fetched <= 2*float64(len(last))*4/3, "%v bytes fetched", fetched)
 			if row.reason != "" {
-				assert.Equal(t, f.metric(0, fmt.Sprintf("dogwood_store_state_reads_total{reason=%q}", row.reason)), 1.0)
+				assert.Equal(t, f.metric("balancer", 0, fmt.Sprintf("dogwood_store_state_reads_total{reason=%q}", row.reason)), 1.0)
 			}
 		})
 	}
@@ -200,12 +188,12 @@
 func TestOverdueViewRaisesAlarm(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	const overdue = `dogwood_store_keys_overdue{keys="Evacuations"}`
-	assert.Equal(t, f.metric(0, overdue), 0.0)
+	assert.Equal(t, f.metric("balancer", 0, overdue), 0.0)
 	f.store.SetTrouble(fakes.Busy)
 	f.publish(0, "ready")
-	f.eventually(func() bool { return f.metric(0, overdue) == 1 }, "the evacuations are overdue")
-	assert.Assert(t, f.metric(0, `dogwood_store_keys_age_seconds{keys="Evacuations"}`) > 1)
+	f.eventually(func() bool { return f.metric("balancer", 0, overdue) == 1 }, "the evacuations are overdue")
+	assert.Assert(t, f.metric("balancer", 0, `dogwood_store_keys_age_seconds{keys="Evacuations"}`) > 1)
 	f.eventually(func() bool { return f.logs.contains("view overdue") }, "the log tells it")
 	f.store.SetTrouble(fakes.Healthy)
-	f.eventually(func() bool { return f.logs.contains("view current again") && f.metric(0, overdue) == 0 }, "the view is current again")
+	f.eventually(func() bool { return f.logs.contains("view current again") && f.metric("balancer", 0, overdue) == 0 }, "the view is current again")
 }
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -41,6 +41,10 @@
 // capacity.
 const BalanceByRoom = "ByRoom"
 
+// HealthByTraffic is the value of PathAgent.Health with which the agent judges its server
+// by the requests that it sees.
+const HealthByTraffic = "ByTraffic"
+
 // PathAgent is the settings file of an agent of internal/path.
 type PathAgent struct {
 	Path     Path
@@ -52,6 +56,10 @@
 	Queue string `json:",omitempty"`
 	// QueueOrder names the order of that queue (package sched); empty means the first one.
 	QueueOrder string `json:",omitempty"`
+	// Health is HealthByTraffic if the agent denies new flows while its server fails too many
+	// requests, and empty if it does not judge the server. It is left out if empty, for
+	// processes of earlier versions, which do not know it.
+	Health string `json:",omitempty"`
 }
 
 // QueueAllWork is the value of PathAgent.Queue for one queue of all work.
@@ -96,6 +104,9 @@
 		if _, err := s.Order(); err != nil {
 			c.addError("QueueOrder", "%v", err)
 		}
+		if s.Health != "" && s.Health != HealthByTraffic {
+			c.addError("Health", "is %q, want %q or nothing", s.Health, HealthByTraffic)
+		}
 	})
 }
 
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -25,6 +25,8 @@
 		{"queue of all work", `"desk"`, `"desk", "Queue": "AllWork", "QueueOrder": "WeightedTurns"`, ""},
 		{"unknown queue", `"desk"`, `"desk", "Queue": "Everything"`, "Queue"},
 		{"unknown order", `"desk"`, `"desk", "QueueOrder": "Best"`, "QueueOrder"},
+		{"health by traffic", `"desk"`, `"desk", "Health": "ByTraffic"`, ""},
+		{"unknown kind of health", `"desk"`, `"desk", "Health": "ByProbes"`, "Health"},
 		{"unknown field", `"Service"`, `"Servise"`, "Servise"},
 		{"invalid JSON", `{`, ``, "agent.json"},
 	} {
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -214,6 +214,19 @@
 	return q.take(0), true
 }
 
+// DrainMovable removes and returns the oldest movable item, for work that must go to other
+// servers. It returns false if there is none.
+func (q *Queue) DrainMovable() (Item, bool) {
+	i := slices.IndexFunc(q.items, func(i queued) bool { return i.Movable })
+	if i < 0 {
+		return Item{}, false
+	}
+	return q.take(i), true
+}
+
+// Movable returns the number of items that are movable.
+func (q *Queue) Movable() int { return q.movable }
+
 // rankOf returns what an item can still reach if it is answered after work.
 func rankOf(i *Item, now, work clock.Millis) rank {
 	switch age := i.age(now); {
--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -5,6 +5,7 @@
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
+	"dogwoodlanding.example/dogwood/pkg/health"
 )
 
 // DefaultFlowLife is the longest life of a flow if the settings do not set one.
@@ -66,6 +67,8 @@
 	goal         clock.Millis // response-time goal of the route
 	priority     int          // of the route
 	sentAt       clock.Millis // when the caller first sent the request or the SYN before it, 0 if not known
+	request      health.Request
+	notOpened    bool // Agent.health has recorded that the server left the SYN unanswered
 }
 
 // Directions of a flow whose sender has sent a FIN.
@@ -85,6 +88,7 @@
 
 // trackCaller updates a flow by a packet of the caller.
 func (a *Agent) trackCaller(now clock.Millis, p Packet, e *flowEntry) {
+	isNew := false
 	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.dataEnd == 0 || int32(end-e.dataEnd) > 0) {
 		if !e.gotRequest && e.hasServerISN {
 			a.meanRequestDelay += (float64(now-e.since) - a.meanRequestDelay) * meanWeight
@@ -94,7 +98,9 @@
 		}
 		e.dataEnd, e.gotRequest = end, true
 		a.setInLoad(e, true, now)
+		isNew = true
 	}
+	a.judgeCaller(now, p, e, isNew)
 	if p.FIN {
 		e.finished |= callerDone
 	}
@@ -130,20 +136,23 @@
 // endFlow marks a flow as ended and removes it from the load.
 func (a *Agent) endFlow(now clock.Millis, e *flowEntry) {
 	a.setInLoad(e, false, now)
+	a.health.Discard(now, &e.request)
 	if e.phase != ended {
 		e.phase, e.since = ended, now
 	}
 }
 
 // deleteFlow deletes the record of a flow and removes it from the load.
-func (a *Agent) deleteFlow(key flow.Key, e *flowEntry) {
+func (a *Agent) deleteFlow(now clock.Millis, key flow.Key, e *flowEntry) {
 	a.held.drop(key)
 	a.setInLoad(e, false, 0)
+	a.health.Discard(now, &e.request)
 	delete(a.flows, key)
 }
 
 // trackServer updates a flow by a packet of the server.
 func (a *Agent) trackServer(now clock.Millis, p Packet, e *flowEntry) {
+	a.judgeServer(now, p, e)
 	if p.Bytes > 0 && e.inLoad {
 		a.recordServiceTime(now - e.since)
 		a.recordAnswer(now, e)
@@ -181,7 +190,9 @@
 func (a *Agent) Tick(now clock.Millis) {
 	a.overdue = 0
 	a.observeLoad(now)
+	a.tickHealth(now)
 	for key, e := range a.flows {
+		a.judgeOpening(now, e)
 		switch {
 		case e.inLoad && (now-e.since >= maxServiceTime || !e.gotRequest && e.phase != opening && now-e.since >= a.requestTimeout()):
 			if e.gotRequest && a.Unanswered != nil {
@@ -189,7 +200,7 @@
 			}
 			a.setInLoad(e, false, now)
 		case e.phase == ended && now-e.since >= endedFlowTime, now-e.lastSeen >= flowLifeOrDefault(a.FlowLife):
-			a.deleteFlow(key, e)
+			a.deleteFlow(now, key, e)
 		case a.AllWork && e.inLoad && e.gotRequest && now-e.since >= a.overdueTime():
 			a.overdue++
 		}
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -259,6 +259,11 @@
 		w.releasing = h
 		return a.releaseNext(now), true
 	}
+	if a.evictions > 0 {
+		if r, ok := a.evictHeld(now); ok {
+			return r, true
+		}
+	}
 	if item, reason, ok := w.queue.Refuse(now); ok {
 		a.counts.Overloaded++
 		h := w.remove(item.Key)
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -69,6 +69,8 @@
 	// With Balancer.ByRoom, a new flow queues at a busy server that is no busier than the
 	// mean of its service, without further visits.
 	QueueEarly
+	// A server that fails too many requests receives new flows only as trials.
+	EjectUnhealthy
 	mechanismCount // not a mechanism
 )
 
