--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -50,6 +50,7 @@
 	routedTo              atomic.Int32 // number of the balancer that the routers choose
 	logs                  *logBuffer
 	drainMs               int // of balancers
+	balance               string
 }
 
 // logBuffer collects the log lines of all processes.
@@ -139,7 +140,7 @@
 
 func (f *fleet) startBalancer(i int) {
 	b := &path.Balancer{Log: log.New(f.logs), Settings: setup.PathBalancer{Path: f.pathSettings("balancer", i), Store: f.storeAddr,
-		Agents: f.addr("balancer", i, agentsPort).String(), EvacuateMs: f.evacuateMs(), DrainMs: f.drainMs, ConfigMs: f.drainMs}}
+		Agents: f.addr("balancer", i, agentsPort).String(), EvacuateMs: f.evacuateMs(), DrainMs: f.drainMs, ConfigMs: f.drainMs, Balance: f.balance}}
 	f.run(fmt.Sprint("balancer", i), b.Run)
 	f.eventually(func() bool { return f.ready(i) }, "balancer %d is ready", i)
 }
