--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -12,6 +12,7 @@
 	"dogwoodlanding.example/dogwood/pkg/burn"
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/place"
+	"dogwoodlanding.example/dogwood/pkg/resync"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform"
 	"github.com/VictoriaMetrics/metrics"
@@ -39,7 +40,7 @@
 	Clock        clock.Clock
 	DroppedLines func() uint64 // returns the number of dropped log lines, may be nil
 
-	mu                sync.Mutex // guards core, limitedLog, pauses, shuttingDown, viewChangedAt and viewAsOf
+	mu                sync.Mutex // guards core, limitedLog, pauses, shuttingDown, viewChangedAt, viewAsOf, resync and overdue
 	core              steer.Balancer
 	limitedLog        limitedLog
 	pauses            pauseDetector
@@ -51,13 +52,16 @@
 	refreshRequests   chan struct{} // requests an immediate answer of the store
 	firstListing      chan struct{} // closed after the first listing
 	closeFirstListing sync.Once
-	batchPause        time.Duration // last pause after changes; used by watchStore only
-	storeEra          uint64        // of the last listing; used by watchStore only
-	hasEra            bool          // storeEra is set
-	packets           *net.UDPConn  // for packets of callers and resets to them
-	agents            *net.UDPConn  // for messages from and to agents
-	packetPort        uint16        // of callers and agents, the same as that of packets
-	resumeBuffer      []byte        // of resumeParked, with space for a message and a packet
+	batchPause        time.Duration        // last pause after changes; used by watchStore only
+	storeEra          uint64               // of the last listing; used by watchStore only
+	hasEra            bool                 // storeEra is set
+	resync            resync.Policy        // decides on calls of the store
+	configRevision    uint64               // of the last configuration applied; used by watchStore only
+	overdue           map[resync.Keys]bool // keys whose view was logged as overdue
+	packets           *net.UDPConn         // for packets of callers and resets to them
+	agents            *net.UDPConn         // for messages from and to agents
+	packetPort        uint16               // of callers and agents, the same as that of packets
+	resumeBuffer      []byte               // of resumeParked, with space for a message and a packet
 	stats             balancerMetrics
 }
 
@@ -73,7 +77,9 @@
 	storeFailures *metrics.Counter
 	storeRestores *metrics.Counter
 	listTime      *metrics.Histogram
+	transfer      transferMetrics
 	serviceLevel  serviceLevel
+	rooms         map[string]bool // services whose estimates have metrics
 }
 
 // init opens the sockets and sets the unexported fields.
@@ -87,6 +93,7 @@
 	}
 	b.packetPort = b.packets.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	b.core.CacheFlows = b.Settings.CacheFlows
+	b.core.ByRoom = b.Settings.Balance == setup.BalanceByRoom
 	b.core.Registry.FlowLife = flowLife(b.Settings.Path)
 	if b.core.Disabled, err = disabledMechanisms(b.Log, b.Settings.Path); err != nil {
 		return err
@@ -101,7 +108,7 @@
 	set := metrics.NewSet()
 	registerDroppedLines(set, b.DroppedLines)
 	b.stats = balancerMetrics{
-		set: set, decisions: make(map[string]*metrics.Counter),
+		set: set, decisions: make(map[string]*metrics.Counter), rooms: make(map[string]bool),
 		storeLists:     set.NewCounter(`dogwood_store_calls_total{kind="List"}`),
 		storeWatches:   set.NewCounter(`dogwood_store_calls_total{kind="Watch"}`),
 		storeRefreshes: set.NewCounter(`dogwood_store_calls_total{kind="Refresh"}`),
@@ -110,6 +117,7 @@
 		storeRestores:  set.NewCounter("dogwood_store_restores_total"),
 		listTime:       set.NewHistogram("dogwood_store_list_seconds"),
 	}
+	b.initResync()
 	b.stats.serviceLevel = serviceLevel{set: set, clock: b.Clock, dataCentre: b.Settings.Path.DataCentre}
 	return nil
 }
@@ -126,7 +134,7 @@
 	if err := tasks.start(background); err != nil {
 		return err
 	}
-	store := newStore(b.Settings.Store, b.Clock, b.logInvalidEntry, b.requestRefresh)
+	store := newStore(b.Settings.Store, b.Clock, b.logInvalidEntry, b.requestRefresh, b.stats.transfer.count)
 	go b.watchStore(background, store)
 	go func() {
 		b.awaitFirstListing(background)
@@ -134,7 +142,7 @@
 	}()
 	go b.readAgents()
 	go runEvery(background, tickInterval, b.startTimer.C, &b.mu, b.tick)
-	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store)
+	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store, "balance", b.Settings.Balance)
 	<-ctx.Done()
 	b.mu.Lock()
 	b.shuttingDown = true
@@ -156,7 +164,7 @@
 	defer b.mu.Unlock()
 	b.core.EvacuationGracePeriod = clock.Millis(settings.EvacuateMs)
 	setLogLevel(b.Log, settings.Path.LogLevel)
-	if needsStart(b.Settings.Path, settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents {
+	if needsStart(b.Settings.Path, settings.Path) || settings.Store != b.Settings.Store || settings.Agents != b.Settings.Agents || settings.Balance != b.Settings.Balance {
 		b.Log.Warn("changed settings take effect at the next start")
 	}
 	return nil
@@ -327,6 +335,7 @@
 func (b *Balancer) tick() {
 	now := b.Clock.Now()
 	b.checkSuspension(now)
+	b.checkOverdue(now)
 	for _, s := range b.core.Tick(now, b.sendPing) {
 		b.Log.Warn("agent lost", "agent", steer.AddrOf(s.Agent), "unanswered", now-s.Since)
 	}
@@ -335,6 +344,7 @@
 	}
 	b.logEvents(now, b.core.Registry.ApplyHeld(now), 0)
 	b.resumeParked(now)
+	b.registerRooms()
 }
 
 // sendPing probes an agent.
--- a/internal/path/queue_test.go
+++ b/internal/path/queue_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -47,7 +47,7 @@
 	before := f.metric("server", 0, `dogwood_agent_held_total{class="0"}`)
 	assert.Assert(t, before > 0)
 	assert.Equal(t, f.metric("server", 0, `dogwood_agent_held_seconds_count{class="0"}`), before)
-	assert.Equal(t, f.metric("server", 0, `dogwood_agent_refused_total{class="0",reason="Backlog"}`), 0)
+	assert.Equal(t, f.metric("server", 0, `dogwood_agent_refused_total{class="0",reason="Backlog"}`), 0.0)
 
 	wait := sendAll("last", 150*time.Millisecond)
 	f.eventually(func() bool { return f.metric("server", 0, `dogwood_agent_held_total{class="0"}`) > before }, "requests are held")
@@ -57,14 +57,12 @@
 	assert.Equal(t, f.servers["s0"].ModifiedPackets(), 0)
 }
 
-// metric returns the value of a metric with its labels.
-func (f *fleet) metric(kind string, i int, name string) int {
+// metric returns the value of a metric, given with its labels, of a process.
+func (f *fleet) metric(kind string, i int, name string) float64 {
 	f.t.Helper()
-	page := f.metricsPage(kind, i)
-	_, rest, ok := strings.Cut(page, name+" ")
-	assert.Assert(f.t, ok, "%s", page)
-	value, _, _ := strings.Cut(rest, "\n")
-	n, err := strconv.Atoi(value)
+	found := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (.*)$`).FindStringSubmatch(f.metricsPage(kind, i))
+	assert.Assert(f.t, found != nil, "no metric %s", name)
+	value, err := strconv.ParseFloat(found[1], 64)
 	assert.NilError(f.t, err)
-	return n
+	return value
 }
