--- a/pkg/health/health.go
+++ b/pkg/health/health.go
@@ -79,7 +79,10 @@
 	// silenceFactor is the multiple of a request's limit after which a server counts as
 	// silent if nothing was answered: all its slots are rarely busy with requests that
 	// take so long.
-	silenceFactor = 2
+	silenceFactor = 3
+	// coldFactor is the multiple of a limit that applies while the server is cold: it is
+	// 1.6 times slower then.
+	coldFactor = 2
 	// quickDivisor is the fraction of the typical time within which an answer counts as
 	// quick: less than a request needs that is run.
 	quickDivisor = 8
@@ -97,11 +100,11 @@
 	// A new flow is let through to a bad server if no request of an open flow has shown for
 	// a time how it does. The time is minTrialTime to maxTrialTime. A sound request halves
 	// it and a failed one makes it four times as long, so it rises above a share of 1/3
-	// failed. A server that has recovered gets returnScore trials in 6.6 s at most, half of
+	// failed. A server that has recovered gets returnScore trials in 4.8 s at most, a third of
 	// the 15 s within which it must be in use again.
 	minTrialTime   = 400 * clock.Millis(1)
 	firstTrialTime = 800 * clock.Millis(1)
-	maxTrialTime   = 2400 * clock.Millis(1)
+	maxTrialTime   = 1600 * clock.Millis(1)
 )
 
 // Request is the record of one flow's request. Its owner embeds it, so that the Detector
@@ -156,11 +159,12 @@
 // Detector judges one server. It takes the requests in progress for a queue that the
 // server works off in order of arrival, with as many at once as it has slots: a request's
 // time counts from its turn, so an overloaded server is not judged by its queue. Set
-// Changed before the first call, and Slots and Typical whenever they are known. Call Tick
+// Changed before the first call, and Slots, Typical and Cold whenever they are known. Call Tick
 // each TickInterval while InProgress. A Detector is not safe for concurrent use.
 type Detector struct {
 	Slots   int          // requests that the server runs at once; 0 means not known, then nothing is judged
 	Typical clock.Millis // median time to the first byte of the service's servers, 0 if not known
+	Cold    bool         // the server has started recently
 	Changed func(Change) // called on each change of the verdict, if set
 
 	first, last  *Request // requests in progress in order of arrival: running ones, then waiting ones
@@ -406,13 +410,17 @@
 // limit returns the time within which the answer to a request with a goal must begin.
 // Half of a goal is never late: callers do not notice.
 func (d *Detector) limit(goal clock.Millis) clock.Millis {
+	limit := noGoalLimit
 	switch {
 	case d.Typical > 0:
-		return max(lateFactor*d.Typical, goal/2, minLimit)
+		limit = max(lateFactor*d.Typical, goal/2, minLimit)
 	case goal > 0:
-		return noTypicalFactor * goal
+		limit = noTypicalFactor * goal
 	}
-	return noGoalLimit
+	if d.Cold {
+		limit *= coldFactor
+	}
+	return limit
 }
 
 // fail records that a request has failed.
--- a/pkg/steer/health.go
+++ b/pkg/steer/health.go
@@ -16,7 +16,7 @@
 
 // updateHealth takes what the judgement depends on from a balancer's message.
 func (a *Agent) updateHealth(now clock.Millis, m *Message) {
-	a.health.Slots = a.Slots
+	a.health.Slots, a.health.Cold = a.Slots, a.isCold(now)
 	if m.TypicalTime > 0 {
 		a.health.Typical = m.TypicalTime
 	}
