Add dogpath check

Cause: operators have no way to check a configuration before they write it to the store.

Change: dogpath check FILE prints findings with place and reason, with the version in force, the servers and a balancer's settings if they are given.

--- a/cmd/dogpath/main.go
+++ b/cmd/dogpath/main.go
@@ -1,6 +1,6 @@
 // Command dogpath runs the packet path on a platform that publishes its servers in a
 // store: a balancer on an entry host, or an agent beside a backend server. It can also
-// extract the log lines of one flow.
+// extract the log lines of one flow, and check a configuration before it is sent.
 package main
 
 import (
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"dogwoodlanding.example/dogwood/internal/check"
 	"dogwoodlanding.example/dogwood/internal/logbuf"
 	"dogwoodlanding.example/dogwood/internal/path"
 	"dogwoodlanding.example/dogwood/internal/setup"
@@ -37,6 +38,7 @@
 	Balancer *daemonArgs `arg:"subcommand:balancer" help:"run a balancer on an entry host"`
 	Agent    *daemonArgs `arg:"subcommand:agent" help:"run an agent beside a backend server"`
 	Trace    *traceArgs  `arg:"subcommand:trace" help:"print the log lines of one flow, ordered by time"`
+	Check    *check.Args `arg:"subcommand:check" help:"check a configuration before it is sent to the store"`
 }
 
 // Description returns the text that go-arg prints above the usage.
@@ -55,6 +57,13 @@
 		parser.WriteHelp(os.Stderr)
 		os.Exit(2)
 	}
+	if a.Check != nil {
+		code, err := check.Run(os.Stdout, *a.Check)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		os.Exit(code)
+	}
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
