--- a/internal/logbuf/logbuf.go
+++ b/internal/logbuf/logbuf.go
@@ -20,6 +20,7 @@
 type Writer struct {
 	mu            sync.Mutex
 	pending       bytes.Buffer
+	closed        bool // Close has been called
 	flushRequests chan struct{}
 	done          chan struct{}
 	dropped       atomic.Uint64
@@ -36,14 +37,12 @@
 // never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
-	fits := w.pending.Len()+len(line) <= maxPending
-	if fits {
-		w.pending.Write(line)
-	}
-	w.mu.Unlock()
-	if !fits {
+	defer w.mu.Unlock()
+	if w.closed || w.pending.Len()+len(line) > maxPending {
 		w.dropped.Add(1)
+		return len(line), nil
 	}
+	w.pending.Write(line)
 	select {
 	case w.flushRequests <- struct{}{}:
 	default:
@@ -54,9 +53,12 @@
 // Dropped returns the number of lines that did not fit or could not be written.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes the queued lines and ends the goroutine. Write must not be called after
-// Close.
+// Close writes the queued lines and ends the goroutine. Lines that are written later are
+// dropped: goroutines of a process that ends may still log.
 func (w *Writer) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	close(w.flushRequests)
 	<-w.done
 }
--- a/internal/logbuf/logbuf_test.go
+++ b/internal/logbuf/logbuf_test.go
@@ -51,3 +51,17 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, suppressed, 7)
 }
+
+// A goroutine that logged while its process ended wrote to a closed channel, and the
+// process ended with a panic.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := logbuf.New(&out)
+	_, err := w.Write([]byte("before\n"))
+	assert.NilError(t, err)
+	w.Close()
+	_, err = w.Write([]byte("after\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, out.String(), "before\n")
+	assert.Equal(t, w.Dropped(), uint64(1))
+}
