Keep the simulation of server choice in test files; name demands by their slots

Cause: the simulation was a package of its own, but only tests use it, and tests live in test files; tests named two deployments.

--- a/internal/roomsim/roomsim.go
+++ b/internal/roomsim/sim_test.go
@@ -1,9 +1,9 @@
-// Package roomsim simulates how balancers choose servers for new flows when what they know
+// Package roomsim_test simulates how balancers choose servers for new flows when what they know
 // of the servers is seconds old. It compares the order of package room with others, which
 // it implements itself. Balancers, agents and servers are reduced to what bears on load:
 // flows that stay open are pinned to their servers, new ones visit up to four candidates,
 // and messages take time and can be lost. A run is determined by its seed.
-package roomsim
+package roomsim_test
 
 import (
 	"container/heap"
--- a/pkg/health/health_test.go
+++ b/pkg/health/health_test.go
@@ -21,28 +21,28 @@
 		unknown bool         // the typical time is not known
 		within  clock.Millis // time to detection in the worst of the runs
 	}{
-		{linen, hanging, 0, false, 3000},
-		{linen, hanging, 10, false, 8000},
-		{linen, hanging, 100, false, 3000},
-		{linen, hanging, 0, true, 8000},
-		{linen, blocking, 0, false, 5000},
-		{linen, resetting, 0, false, 4000},
-		{linen, resetting, 10, false, 8000},
-		{linen, resetting, 100, false, 4000},
-		{linen, resetting, 0, true, 4000},
-		{linen, mute, 0, false, 2000},
-		{linen, mute, 10, false, 4000},
-		{linen, mute, 0, true, 3000},
-		{linen, slow, 0, false, 4000},
-		{linen, slow, 5, false, 8000},
-		{linen, slow, 100, false, 4000},
-		{linen, flapping, 0, false, 4000},
-		{quito, hanging, 0, false, 4000},
-		{quito, blocking, 0, false, 5000},
-		{quito, resetting, 0, false, 4000},
-		{quito, mute, 0, false, 2000},
-		{quito, slow, 0, false, 4000},
-		{quito, flapping, 0, false, 4000},
+		{twoSlots, hanging, 0, false, 3000},
+		{twoSlots, hanging, 10, false, 8000},
+		{twoSlots, hanging, 100, false, 3000},
+		{twoSlots, hanging, 0, true, 8000},
+		{twoSlots, blocking, 0, false, 5000},
+		{twoSlots, resetting, 0, false, 4000},
+		{twoSlots, resetting, 10, false, 8000},
+		{twoSlots, resetting, 100, false, 4000},
+		{twoSlots, resetting, 0, true, 4000},
+		{twoSlots, mute, 0, false, 2000},
+		{twoSlots, mute, 10, false, 4000},
+		{twoSlots, mute, 0, true, 3000},
+		{twoSlots, slow, 0, false, 4000},
+		{twoSlots, slow, 5, false, 8000},
+		{twoSlots, slow, 100, false, 4000},
+		{twoSlots, flapping, 0, false, 4000},
+		{fourSlots, hanging, 0, false, 4000},
+		{fourSlots, blocking, 0, false, 5000},
+		{fourSlots, resetting, 0, false, 4000},
+		{fourSlots, mute, 0, false, 2000},
+		{fourSlots, slow, 0, false, 4000},
+		{fourSlots, flapping, 0, false, 4000},
 		{downloads, hanging, 0, false, 8000},
 		{downloads, blocking, 0, false, 15_000},
 		{downloads, resetting, 0, false, 8000},
@@ -75,12 +75,12 @@
 // Contents are opaque: responses that report an error or a refusal are answers. They can
 // only be seen as quick ones, and do not change the verdict.
 func TestQuickAnswersAreCountedAndNotJudged(t *testing.T) {
-	s := newSim(linen, failing, 1)
+	s := newSim(twoSlots, failing, 1)
 	s.run(clock.Minute)
 	status := s.d.Status()
 	assert.Equal(t, len(s.changes), 0)
 	assert.Assert(t, status.Quick*10 >= status.Sound*3, "%+v", status)
-	healthy := newSim(linen, sound, 1)
+	healthy := newSim(twoSlots, sound, 1)
 	healthy.run(clock.Minute)
 	assert.Equal(t, healthy.d.Status().Quick, uint64(0))
 }
@@ -95,20 +95,20 @@
 		duration clock.Millis
 		change   func(*sim)
 	}{
-		{"linen, quiet", linen, sound, 0.2, 10 * clock.Minute, nil},
-		{"linen, busy", linen, sound, 0.8, 10 * clock.Minute, nil},
-		{"linen, busy, exponential", linen, sound, 0.8, 10 * clock.Minute, func(s *sim) { s.exponential = true }},
-		{"linen, overloaded", linen, sound, 2, 4 * clock.Minute, nil},
-		{"linen, overloaded, exponential", linen, sound, 2, 4 * clock.Minute, func(s *sim) { s.exponential = true }},
-		{"linen, overloaded, typical time unknown", linen, sound, 2, 4 * clock.Minute, func(s *sim) { s.d.Typical = 0 }},
-		{"linen, overloaded with a long queue", linen, sound, 1.5, clock.Minute, func(s *sim) { s.queue = 200 }},
-		{"linen, cold at times", linen, cold, 0.8, 4 * clock.Minute, nil},
-		{"linen, cold at times and overloaded", linen, cold, 2, 4 * clock.Minute, nil},
-		{"quito, quiet", quito, sound, 0.2, 10 * clock.Minute, nil},
-		{"quito, busy", quito, sound, 0.8, 10 * clock.Minute, nil},
-		{"quito, overloaded", quito, sound, 2, 4 * clock.Minute, nil},
-		{"quito, overloaded, exponential", quito, sound, 2, 4 * clock.Minute, func(s *sim) { s.exponential = true }},
-		{"quito, cold at times and overloaded", quito, cold, 2, 4 * clock.Minute, nil},
+		{"twoSlots, quiet", twoSlots, sound, 0.2, 10 * clock.Minute, nil},
+		{"twoSlots, busy", twoSlots, sound, 0.8, 10 * clock.Minute, nil},
+		{"twoSlots, busy, exponential", twoSlots, sound, 0.8, 10 * clock.Minute, func(s *sim) { s.exponential = true }},
+		{"twoSlots, overloaded", twoSlots, sound, 2, 4 * clock.Minute, nil},
+		{"twoSlots, overloaded, exponential", twoSlots, sound, 2, 4 * clock.Minute, func(s *sim) { s.exponential = true }},
+		{"twoSlots, overloaded, typical time unknown", twoSlots, sound, 2, 4 * clock.Minute, func(s *sim) { s.d.Typical = 0 }},
+		{"twoSlots, overloaded with a long queue", twoSlots, sound, 1.5, clock.Minute, func(s *sim) { s.queue = 200 }},
+		{"twoSlots, cold at times", twoSlots, cold, 0.8, 4 * clock.Minute, nil},
+		{"twoSlots, cold at times and overloaded", twoSlots, cold, 2, 4 * clock.Minute, nil},
+		{"fourSlots, quiet", fourSlots, sound, 0.2, 10 * clock.Minute, nil},
+		{"fourSlots, busy", fourSlots, sound, 0.8, 10 * clock.Minute, nil},
+		{"fourSlots, overloaded", fourSlots, sound, 2, 4 * clock.Minute, nil},
+		{"fourSlots, overloaded, exponential", fourSlots, sound, 2, 4 * clock.Minute, func(s *sim) { s.exponential = true }},
+		{"fourSlots, cold at times and overloaded", fourSlots, cold, 2, 4 * clock.Minute, nil},
 		{"downloads, quiet", downloads, sound, 0.05, 10 * clock.Minute, nil},
 		{"downloads, overloaded", downloads, sound, 2, 4 * clock.Minute, nil},
 	} {
@@ -138,7 +138,7 @@
 	for _, kind := range []serverKind{hanging, blocking, resetting, mute, slow, flapping} {
 		worst, sum := clock.Millis(0), clock.Millis(0)
 		for seed := range uint64(seeds) {
-			s := newSim(linen, kind, seed)
+			s := newSim(twoSlots, kind, seed)
 			s.trials = true
 			for !s.d.Bad() {
 				s.run(100)
@@ -161,11 +161,11 @@
 	for _, kind := range []serverKind{hanging, blocking, resetting, mute, slow, flapping} {
 		var received, failed, without int
 		for seed := range uint64(5) {
-			s := newSim(linen, kind, seed)
+			s := newSim(twoSlots, kind, seed)
 			s.trials = true
 			s.run(clock.Minute)
 			received, failed = received+s.received, failed+s.failed
-			other := newSim(linen, kind, seed)
+			other := newSim(twoSlots, kind, seed)
 			other.run(clock.Minute)
 			without += other.failed
 		}
--- a/pkg/health/sim_test.go
+++ b/pkg/health/sim_test.go
@@ -71,8 +71,8 @@
 }
 
 var (
-	linen     = service{"linen", 2, 8, 22, 200, 1500, 24, 40}
-	quito     = service{"quito", 4, 16, 36, 300, 1500, 40, 35}
+	twoSlots  = service{"twoSlots", 2, 8, 22, 200, 1500, 24, 40}
+	fourSlots = service{"fourSlots", 4, 16, 36, 300, 1500, 40, 35}
 	downloads = service{"downloads", 2, 8, 5, 800, 6000, 4, 11}
 )
 
--- a/pkg/steer/workload_test.go
+++ b/pkg/steer/workload_test.go
@@ -410,10 +410,10 @@
 	w.release(s)
 }
 
-// himalLinen and aesrQuito are the demands of one server of two deployments.
+// twoSlotDemand and fourSlotDemand are the demands of one server of each deployment of LOAD.md.
 var (
-	himalLinen = [2]demand{{31.2, 22, 200, 1500, 2, 1, 0.3}, {8.9, 29, 250, 2000, 1, 2, 0.6}}
-	aesrQuito  = [2]demand{{27.1, 34, 300, 1500, 2, 1, 0.5}, {7.7, 44, 300, 2000, 1, 2, 1}}
+	twoSlotDemand  = [2]demand{{31.2, 22, 200, 1500, 2, 1, 0.3}, {8.9, 29, 250, 2000, 1, 2, 0.6}}
+	fourSlotDemand = [2]demand{{27.1, 34, 300, 1500, 2, 1, 0.5}, {7.7, 44, 300, 2000, 1, 2, 1}}
 )
 
 // bursts returns a load that is 1, with a burst of the factor for some time in each 20 s.
@@ -436,12 +436,12 @@
 }
 
 var scenarios = []scenario{
-	{"2 slots, burst of 1.6 for 7 s", himalLinen, 2, bursts(1.6, 7000), 0, 0},
-	{"2 slots, burst of 2.0 for 5 s", himalLinen, 2, bursts(2, 5000), 0, 0},
-	{"2 slots, burst of 2.6 for 3 s", himalLinen, 2, bursts(2.6, 3000), 0, 0},
-	{"2 slots, burst of 2.6 for 7 s", himalLinen, 2, bursts(2.6, 7000), 0, 0},
-	{"4 slots, burst of 2.6 for 7 s", aesrQuito, 4, bursts(2.6, 7000), 0, 0},
-	{"return after outage, load of 1.6", himalLinen, 2, bursts(1.6, 20000), 20_000, 23_000},
+	{"2 slots, burst of 1.6 for 7 s", twoSlotDemand, 2, bursts(1.6, 7000), 0, 0},
+	{"2 slots, burst of 2.0 for 5 s", twoSlotDemand, 2, bursts(2, 5000), 0, 0},
+	{"2 slots, burst of 2.6 for 3 s", twoSlotDemand, 2, bursts(2.6, 3000), 0, 0},
+	{"2 slots, burst of 2.6 for 7 s", twoSlotDemand, 2, bursts(2.6, 7000), 0, 0},
+	{"4 slots, burst of 2.6 for 7 s", fourSlotDemand, 4, bursts(2.6, 7000), 0, 0},
+	{"return after outage, load of 1.6", twoSlotDemand, 2, bursts(1.6, 20000), 20_000, 23_000},
 }
 
 // outcome is how a scenario ended.
