--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -32,8 +32,8 @@
 	// answers several times in that time.
 	stallTime = clock.Second
 	// maxVisitedUntried is how many agents may have denied a SYN for it to be sent on to
-	// others without a reset: the candidates, and twice one more. Further visits take longer
-	// than a free slot there saves.
+	// others without a reset: the first candidates. With one more, callers that returned
+	// after a loss of power waited longer for visits than other servers saved them.
 	maxVisitedUntried = maxCandidates
 )
 
