Keep the held SYN of a flow that reuses a key

A SYN that waits in the queue for all work was discarded when the server returned or reset a packet of an ended flow with the same key, or when the record of that flow was deleted; late data or a FIN of the old flow was held behind the SYN and lost when it left. Only requests of the flow itself are discarded now, and packets of the old flow pass.

TestHeldSYNSurvivesEndOfEarlierFlow failed in all 5 cases before and passes; go test -run 'Held|Hold|Requests|Flows|SYN' ./pkg/steer passes.

--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -446,7 +446,7 @@
 		e.message = &Message{}
 	}
 	e.phase, e.since, e.hasServerISN, e.finished, e.dataEnd = returned, now, false, 0, 0
-	a.held.drop(p.Key)
+	a.held.dropRequest(p.Key)
 	return a.deny(e.balancer, m, reason)
 }
 
--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -144,7 +144,7 @@
 
 // deleteFlow deletes the record of a flow and removes it from the load.
 func (a *Agent) deleteFlow(now clock.Millis, key flow.Key, e *flowEntry) {
-	a.held.drop(key)
+	a.held.dropRequest(key)
 	a.setInLoad(e, false, 0)
 	a.health.Discard(now, &e.request)
 	delete(a.flows, key)
@@ -165,7 +165,7 @@
 		e.finished |= serverDone
 	}
 	if p.RST {
-		a.held.drop(p.Key)
+		a.held.dropRequest(p.Key)
 	}
 	if p.RST || e.finished == callerDone|serverDone {
 		a.endFlow(now, e)
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -141,6 +141,14 @@
 	}
 }
 
+// dropRequest discards the held packets of an open flow. A held SYN stays: it is of a new
+// flow that reuses the key of an ended one.
+func (w *heldWork) dropRequest(key flow.Key) {
+	if h := w.flows[key]; h != nil && !h.item.Movable {
+		w.drop(key)
+	}
+}
+
 // dropSYNs discards the held SYNs.
 func (w *heldWork) dropSYNs() {
 	for key, h := range w.flows {
@@ -167,7 +175,7 @@
 		a.recordProgress(now)
 	case h != nil && p.RST: // the caller has given the request up
 		w.drop(p.Key)
-	case h != nil && (newData || p.FIN):
+	case h != nil && !h.item.Movable && (newData || p.FIN):
 		if h.contains(p) || !w.hasRoom(p) {
 			return Drop
 		}
