Forget evictions when the queue for all work empties

If a crash made the verdict bad, the SYNs in the queue left with the server but still counted as those to deny because of the verdict. As many last offers were denied as Busy later, although a server takes these whatever the verdict. The count is now reset when the queue is emptied or empty. The comment on the count said that evicted SYNs are at the head of the queue, which also holds requests of open flows.

--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -116,7 +116,7 @@
 	held            heldWork // the queue if AllWork is set
 	health          health.Detector
 	healthTick      clock.Millis // time of its last Tick
-	evictions       int          // SYNs at the head of the queue that came before the server was judged bad
+	evictions       int          // oldest SYNs of the queue that are to be denied since the server was judged bad
 	discardSYNUntil clock.Millis // until then, SYNs may be from before a suspension
 	// meanRequestDelay is the moving average of the milliseconds from the server's
 	// SYN-ACK to the request.
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -250,9 +250,11 @@
 	w.queue.Speed.Slots = a.Slots
 	w.queue.Speed.Running(a.requests(), a.expected)
 	if w.queue.Len() == 0 {
+		a.evictions = 0
 		return Release{}, false
 	}
 	if reason := a.emptyQueue(now); reason != NoReason {
+		a.evictions = 0 // all SYNs leave
 		item, _ := w.queue.Drain()
 		h := w.remove(item.Key)
 		switch {
