Report a high utilization of a server that is judged bad

A failing server is idle, so balancers that order servers by spare capacity (ByRoom) would have most new flows visit it first, only to be denied as Busy. While the verdict is bad, the agent adds 100 percent to the utilization that it reports, also before the utilization has been measured for long enough.

TestBadServerReportsHighUtilization failed before and passes; go test -run 'Bad|ByRoom|Report|Util' ./pkg/steer passes. The effect on callers is not measured.

--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -225,9 +225,12 @@
 }
 
 // Report fills in what a message tells balancers of the server. There is no report before
-// the utilization has been measured for long enough.
+// the utilization has been measured for long enough, unless the server is judged bad.
 func (a *Agent) Report(m *Message) {
 	m.Utilization, m.HasReport = a.utilization.percent()
+	if a.avoidsNewFlows() {
+		m.Utilization, m.HasReport = m.Utilization+unhealthyUtilization, true
+	}
 	m.ServiceTime = clock.Millis(a.meanServiceTime)
 }
 
--- a/pkg/steer/health.go
+++ b/pkg/steer/health.go
@@ -11,6 +11,12 @@
 // more, the rest is better off at a bad one.
 const unhealthyLoad = 2
 
+// unhealthyUtilization is added to the utilization, in percent, that a server which fails
+// too many requests reports: it is idle, so balancers would offer it most new flows. With
+// all its slots counted as used it is among the last, but still visited for trials: a
+// recovered server must be in use again within 15 s.
+const unhealthyUtilization = 100
+
 // Health returns the verdict on the server and the counters behind it.
 func (a *Agent) Health() health.Status { return a.health.Status() }
 
