Let a SYN wait that no other server is left for

A SYN that would be late was sent on to other servers if at most four agents had denied it. In a service of at most four servers all of them can have denied it, so its caller got a reset rather than a late answer. The balancer now says so in its last offer (flag bit 6, ignored by earlier versions), and such a SYN waits.

TestSYNThatAllServersDeniedWaits failed before with 3 servers and passes; go test -run 'AllServersDenied|SYN|Message|ByRoom|Fuzz|Known' ./pkg/steer passes.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"slices"
+
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
 	"dogwoodlanding.example/dogwood/pkg/place"
@@ -114,7 +116,7 @@
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
 	m.Kind, m.Reason = OfferPacket, KnownOwner
-	m.LastOffer, m.Inconclusive, m.KnownOnly, m.PacketKept = false, false, false, false
+	m.LastOffer, m.NoOthers, m.Inconclusive, m.KnownOnly, m.PacketKept = false, false, false, false, false
 	m.AgentStartMs, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = 0, 0, 0, 0
 	m.Goal, m.Priority, m.TimeLimit, m.TypicalTime, m.HasReport = route.Goal, route.Priority, route.TimeLimit, 0, false
 	hash := p.Key.Hash()
@@ -207,6 +209,7 @@
 	var ranked [1 + maxOpenOffers]place.ID
 	count := rank(pool.accepting, pool.localAccepting, hash, ranked[:])
 	b.orderByRoom(now, view, service, hash, ranked[:count])
+	m.NoOthers = false
 	if next := b.nextCandidate(now, view, ranked[:count], p.Copy, m); next != 0 && !b.queuesEarly(now, service, m) {
 		if b.isStarting(next) {
 			return b.park(now, p, m, awaitAgents)
@@ -215,7 +218,7 @@
 		return b.offer(now, view, p, m, next, service)
 	}
 	if m.LeastBusy != 0 {
-		m.LastOffer, m.Reason = true, NewFlow
+		m.LastOffer, m.Reason, m.NoOthers = true, NewFlow, !b.hasUnvisited(now, view, ranked[:count], m)
 		return b.offer(now, view, p, m, m.LeastBusy, service)
 	}
 	if m.Reason == KnownOwner || m.Reason == NoReason {
@@ -267,6 +270,13 @@
 	return fallback
 }
 
+// hasUnvisited reports whether a ranked agent that answers has not denied a new flow.
+func (b *Balancer) hasUnvisited(now clock.Millis, view *View, ranked []place.ID, m *Message) bool {
+	return slices.ContainsFunc(ranked, func(id place.ID) bool {
+		return !m.visited(id) && !view.passedOver[id] && !b.departed(now, view, id) && !b.isSilent(id)
+	})
+}
+
 // evacuationEnded reports whether an agent's data centre was taken out of service so
 // long ago that the agent receives no more packets.
 func (b *Balancer) evacuationEnded(now clock.Millis, view *View, id place.ID) bool {
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -81,7 +81,7 @@
 	} else {
 		h = new(heldFlow)
 	}
-	h.item = sched.Item{Key: p.Key, Arrived: now, Age: p.Age, Goal: m.Goal, Limit: m.TimeLimit, Priority: m.Priority, Movable: p.SYN, Untried: p.SYN && m.VisitedCount <= maxVisitedUntried, Bytes: p.Bytes + heldOverhead}
+	h.item = sched.Item{Key: p.Key, Arrived: now, Age: p.Age, Goal: m.Goal, Limit: m.TimeLimit, Priority: m.Priority, Movable: p.SYN, Untried: p.SYN && !m.NoOthers && m.VisitedCount <= maxVisitedUntried, Bytes: p.Bytes + heldOverhead}
 	h.from = from
 	if p.SYN {
 		h.message = *m
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -41,6 +41,9 @@
 	// LastOffer marks the offer to the least busy server after every candidate was
 	// busy: the agent must queue the SYN rather than deny it as Busy.
 	LastOffer bool
+	// NoOthers says of a LastOffer that no other server is left to offer the SYN to: a denial
+	// would end the caller's attempt.
+	NoOthers bool
 	// Inconclusive is only echoed: balancers of earlier versions set it on a packet whose
 	// earlier denials did not prove that the agents' servers do not hold the flow.
 	Inconclusive bool
@@ -96,6 +99,7 @@
 	flagPacketKept   = 1 << 3
 	flagAgentStarted = 1 << 4
 	flagReport       = 1 << 5
+	flagNoOthers     = 1 << 6
 )
 
 // Units of times that are sent in one byte. Larger times are sent as 255 units.
@@ -169,6 +173,9 @@
 	if m.reports() {
 		f |= flagReport
 	}
+	if m.NoOthers {
+		f |= flagNoOthers
+	}
 	return f
 }
 
@@ -191,7 +198,7 @@
 	if b[2]&flagAgentStarted != 0 {
 		m.Revision, m.AgentStartMs = 0, int64(m.Revision)
 	}
-	m.HasReport = b[2]&flagReport != 0
+	m.HasReport, m.NoOthers = b[2]&flagReport != 0, b[2]&flagNoOthers != 0
 	m.ColdRate, m.ColdLeft, m.Utilization, m.ServiceTime = 0, 0, 0, 0
 	if m.HasReport {
 		m.Utilization = int(binary.BigEndian.Uint16(b[16:]))
