--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -116,7 +116,7 @@
 	held            heldWork // the queue if AllWork is set
 	health          health.Detector
 	healthTick      clock.Millis // time of its last Tick
-	evictions       int          // SYNs at the head of the queue that came before the server was judged bad
+	evictions       int          // oldest SYNs of the queue that are to be denied since the server was judged bad
 	discardSYNUntil clock.Millis // until then, SYNs may be from before a suspension
 	// meanRequestDelay is the moving average of the milliseconds from the server's
 	// SYN-ACK to the request.
@@ -225,9 +225,12 @@
 }
 
 // Report fills in what a message tells balancers of the server. There is no report before
-// the utilization has been measured for long enough.
+// the utilization has been measured for long enough, unless the server is judged bad.
 func (a *Agent) Report(m *Message) {
 	m.Utilization, m.HasReport = a.utilization.percent()
+	if a.avoidsNewFlows() {
+		m.Utilization, m.HasReport = m.Utilization+unhealthyUtilization, true
+	}
 	m.ServiceTime = clock.Millis(a.meanServiceTime)
 }
 
@@ -446,7 +449,7 @@
 		e.message = &Message{}
 	}
 	e.phase, e.since, e.hasServerISN, e.finished, e.dataEnd = returned, now, false, 0, 0
-	a.held.drop(p.Key)
+	a.held.dropRequest(p.Key)
 	return a.deny(e.balancer, m, reason)
 }
 
--- a/pkg/steer/hold.go
+++ b/pkg/steer/hold.go
@@ -81,7 +81,7 @@
 	} else {
 		h = new(heldFlow)
 	}
-	h.item = sched.Item{Key: p.Key, Arrived: now, Age: p.Age, Goal: m.Goal, Limit: m.TimeLimit, Priority: m.Priority, Movable: p.SYN, Untried: p.SYN && m.VisitedCount <= maxVisitedUntried, Bytes: p.Bytes + heldOverhead}
+	h.item = sched.Item{Key: p.Key, Arrived: now, Age: p.Age, Goal: m.Goal, Limit: m.TimeLimit, Priority: m.Priority, Movable: p.SYN, Untried: p.SYN && !m.NoOthers && m.VisitedCount <= maxVisitedUntried, Bytes: p.Bytes + heldOverhead}
 	h.from = from
 	if p.SYN {
 		h.message = *m
@@ -141,6 +141,14 @@
 	}
 }
 
+// dropRequest discards the held packets of an open flow. A held SYN stays: it is of a new
+// flow that reuses the key of an ended one.
+func (w *heldWork) dropRequest(key flow.Key) {
+	if h := w.flows[key]; h != nil && !h.item.Movable {
+		w.drop(key)
+	}
+}
+
 // dropSYNs discards the held SYNs.
 func (w *heldWork) dropSYNs() {
 	for key, h := range w.flows {
@@ -167,7 +175,7 @@
 		a.recordProgress(now)
 	case h != nil && p.RST: // the caller has given the request up
 		w.drop(p.Key)
-	case h != nil && (newData || p.FIN):
+	case h != nil && !h.item.Movable && (newData || p.FIN):
 		if h.contains(p) || !w.hasRoom(p) {
 			return Drop
 		}
@@ -242,9 +250,11 @@
 	w.queue.Speed.Slots = a.Slots
 	w.queue.Speed.Running(a.requests(), a.expected)
 	if w.queue.Len() == 0 {
+		a.evictions = 0
 		return Release{}, false
 	}
 	if reason := a.emptyQueue(now); reason != NoReason {
+		a.evictions = 0 // all SYNs leave
 		item, _ := w.queue.Drain()
 		h := w.remove(item.Key)
 		switch {
