Keep a restarted server among the possible holders of its flows

Cause: a balancer's first choice for a new flow is the best settled server of its data centre. Servers that have just joined have not settled, but a server that restarts behind a known agent settles at once. The search counts the new ones among those that precede the restarted one, since they were listed before it. With six of them in its data centre, and twenty in all, it excluded the holder and reset an open flow.

Change: a server that was listed after one of its data centre that has not settled is no local candidate, so each server that the search counts before a local holder was a candidate when the flow opened. The bounds and the agents that are asked do not change.

--- a/pkg/steer/bound.go
+++ b/pkg/steer/bound.go
@@ -75,6 +75,30 @@
 	}
 }
 
+// acceptingBeforeUnsettled returns, by service, the agents of those servers of a data centre
+// that may be the first for new flows there: they have settled, and were listed before each
+// one that has not. Searches count a server that has not settled among those before an agent
+// that was listed later. Such an agent is a restarted server's, which settles at once, and
+// could otherwise be excluded although it took a flow.
+func (v *View) acceptingBeforeUnsettled(servers []*Server) map[string][]place.Member {
+	unsettled := make(map[string]uint64) // lowest acceptsSince, by service
+	for _, s := range servers {
+		if since, ok := v.acceptsSince[holder{s.Agent, s.Service}]; ok && v.passedOver[s.Agent] {
+			if lowest, ok := unsettled[s.Service]; !ok || since < lowest {
+				unsettled[s.Service] = since
+			}
+		}
+	}
+	accepting := make(map[string][]place.Member)
+	for _, s := range servers {
+		lowest, ok := unsettled[s.Service]
+		if !v.passedOver[s.Agent] && (!ok || s.CreatedRevision <= lowest) {
+			addMember(accepting, s)
+		}
+	}
+	return accepting
+}
+
 // holderOrder returns the agents whose servers may hold a flow in its order: the first
 // of the own data centre, then the order of all, which all balancers share.
 func (p *pool) holderOrder(hash uint64) []place.ID {
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -35,7 +35,8 @@
 	accepting place.Table
 	holders   place.Table // agents whose servers may hold flows
 	// localAccepting and localHolders are the part of them in the balancer's data centre.
-	// localAccepting lacks those in View.passedOver.
+	// localAccepting lacks those in View.passedOver, and those listed after one that has
+	// not settled (acceptingBeforeUnsettled).
 	localAccepting, localHolders place.Table
 }
 
@@ -73,7 +74,8 @@
 		}
 	}
 	accepting, holders := make(map[string][]place.Member), make(map[string][]place.Member)
-	localAccepting, localHolders := make(map[string][]place.Member), make(map[string][]place.Member)
+	localHolders := make(map[string][]place.Member)
+	var localServing []*Server // in service
 	local := func(s *Server) bool { return s.DataCentre == r.DataCentre && !r.Disabled.Has(PreferLocal) }
 	servers := sortedByName(r.servers)
 	for _, s := range servers {
@@ -108,10 +110,12 @@
 		addMember(accepting, s)
 		if outOfService || !r.settled(now, s) {
 			v.passedOver[s.Agent] = true
-		} else if local(s) {
-			addMember(localAccepting, s)
+		}
+		if local(s) && !outOfService {
+			localServing = append(localServing, s)
 		}
 	}
+	localAccepting := v.acceptingBeforeUnsettled(localServing)
 	for name := range v.services {
 		v.services[name] = &pool{id: ServiceOf(name), accepting: place.New(accepting[name]), holders: place.New(holders[name]),
 			localAccepting: place.New(localAccepting[name]), localHolders: place.New(localHolders[name])}
