Pause between readings of the state that no watch can continue

Cause: if the store answers each reading but never has the history after it, readings and watches alternated without a pause. Change: from the second such watch in succession the pause of a failed call applies. Measured: 953 readings in 10 s before, at most 30 now (TestReadingsWithoutWatchArePaced).

--- a/pkg/resync/resync.go
+++ b/pkg/resync/resync.go
@@ -143,6 +143,7 @@
 	reason        Reason // why the state must be read, NoReason if it need not be
 	spread        bool   // the reading is spread, since other hosts begin theirs at the same time
 	failures      int    // calls in succession that failed
+	rejected      int    // watches after which the store had no history, since the last complete one
 	slow          int    // responses that exceeded the limit since the last complete call
 	lost          bool   // the last call failed
 	lostSince     clock.Millis
@@ -194,10 +195,14 @@
 	if c.Reason == Outage || c.Kind == State && p.spread {
 		spread = min(p.Bounds.shortest()/4, p.fleetTime())
 	}
-	if p.failures == 0 {
+	failures := p.failures
+	if failures == 0 {
+		failures = p.rejected - 1 // readings that no watch can continue are not repeated at once
+	}
+	if failures <= 0 {
 		return p.random(spread)
 	}
-	retry := min(maxRetryWindow, minRetryWindow<<min(p.failures-1, 8))
+	retry := min(maxRetryWindow, minRetryWindow<<min(failures-1, 8))
 	window := max(retry, spread)
 	if p.slow > 0 {
 		window = max(window, min(maxSlowWindow, p.Bounds.shortest()/4<<min(p.slow, 16)))
@@ -220,7 +225,9 @@
 	p.troubled = o.Result != Complete
 	switch o.Result {
 	case Complete:
-		if o.Kind != Watch {
+		if o.Kind == Watch {
+			p.rejected = 0
+		} else {
 			p.listed, p.stateBytes, p.stateDuration = true, o.Bytes, o.Took
 		}
 		p.reason, p.spread, p.failures, p.slow, p.lost = NoReason, false, 0, 0, false
@@ -242,6 +249,9 @@
 		// watch was too large has used up time already.
 		p.spread = p.failures == 0 && (p.reason == HistoryGone || p.reason == Restored)
 		p.failures, p.lost = 0, false // the store answers
+		if p.reason == HistoryGone || p.reason == Restored {
+			p.rejected++
+		}
 		return
 	}
 	p.failures++ // a reading that does not complete is not repeated without a pause
--- a/pkg/resync/resync_test.go
+++ b/pkg/resync/resync_test.go
@@ -19,6 +19,25 @@
 	return p
 }
 
+// A store that answers each reading but has never the history after it would be read in a
+// loop without a pause.
+func TestReadingsWithoutWatchArePaced(t *testing.T) {
+	p := newPolicy(1, 1000)
+	now, readings := clock.Millis(0), 0
+	for now < 10_000 {
+		c := p.Next(now)
+		now += c.Pause + 5
+		switch c.Kind {
+		case resync.Watch:
+			p.Record(now, resync.Outcome{Kind: resync.Watch, Result: resync.FoundHistoryGone, Took: 5})
+		default:
+			readings++
+			p.Record(now, resync.Outcome{Kind: c.Kind, Bytes: 1000, Took: 5})
+		}
+	}
+	assert.Assert(t, readings <= 30, "%d readings in 10 s", readings)
+}
+
 // A host whose watch cannot bring it up to date must read the state, and one whose watch
 // only failed must not: a reset connection would cost the whole state.
 func TestResultOfCallChoosesNextCall(t *testing.T) {
