Read the state when a watch after a failed call brings nothing; keep callers that a fresh balancer cannot place

A balancer that started while the store was away reset flows of servers whose entries had expired, and refused new flows for want of servers, both of which are back within 2.1 s. Change: a second failed call in succession that is a silent watch leads to a reading of the state. After a first listing that followed an outage such packets are dropped, not reset, for 2.1 s. Measured: TestFirstListingAfterOutageMayLackServers failed before (2 resets).

--- a/pkg/resync/resync.go
+++ b/pkg/resync/resync.go
@@ -37,7 +37,8 @@
 	Restored
 	// TooLarge: the changes are larger than the state.
 	TooLarge
-	// Incomplete: the response to a watch ended in its middle.
+	// Incomplete: the response to a watch ended in its middle, or did not begin although
+	// the call before had failed too.
 	Incomplete
 	// Suspended: the process did not run for a while.
 	Suspended
@@ -260,6 +261,11 @@
 // recordFailure records a call that got no complete response.
 func (p *Policy) recordFailure(now clock.Millis, o Outcome) {
 	p.failures++
+	if p.lost && o.Kind == Watch && o.Result == Silent && p.reason == NoReason {
+		// A store that answers again may take long to collect the history; the state is
+		// at hand.
+		p.reason = Incomplete
+	}
 	if !p.lost {
 		p.lost, p.lostSince = true, now
 		if o.Result == Silent {
--- a/pkg/resync/resync_test.go
+++ b/pkg/resync/resync_test.go
@@ -59,6 +59,7 @@
 		{"refused for long", small, []resync.Outcome{{Kind: resync.Watch, Result: resync.Failed}}, 2600, resync.State, resync.Outage},
 		{"heavy state, refused for long", heavy, []resync.Outcome{{Kind: resync.Watch, Result: resync.Failed}}, 2600, resync.Watch, resync.NoReason},
 		{"silent", small, []resync.Outcome{{Kind: resync.Watch, Result: resync.Silent, Took: 5000}}, 0, resync.State, resync.Outage},
+		{"refused, then silent", small, []resync.Outcome{{Kind: resync.Watch, Result: resync.Failed}, {Kind: resync.Watch, Result: resync.Silent, Took: 1000}}, 0, resync.State, resync.Incomplete},
 		{"cut in its middle", small, []resync.Outcome{{Kind: resync.Watch, Result: resync.Failed, Bytes: 9}}, 0, resync.State, resync.Incomplete},
 		{"reading failed", small, []resync.Outcome{{Kind: resync.Watch, Result: resync.FoundTooLarge}, {Kind: resync.State, Result: resync.Failed}}, 0, resync.State, resync.TooLarge},
 		{"read", small, []resync.Outcome{{Kind: resync.Watch, Result: resync.FoundTooLarge}, {Kind: resync.State, Bytes: 1}}, 0, resync.Watch, resync.NoReason},
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -228,10 +228,15 @@
 }
 
 // refuse rejects a new flow, unless a retransmission of its SYN may have opened it
-// elsewhere: a reset would end that flow.
+// elsewhere: a reset would end that flow. A service whose servers are about to be listed
+// again does not reject either: the caller repeats the SYN, and a reset would use up one of
+// its attempts.
 func (b *Balancer) refuse(now clock.Millis, service string, reason Reason) Decision {
-	if now < b.backlogUntil {
+	switch {
+	case now < b.backlogUntil:
 		return Decision{Verdict: Drop, Reason: Suspended}
+	case reason == NoServer && b.Registry.MayLackServers(now):
+		return Decision{Verdict: Drop, Reason: NoServer}
 	}
 	return Decision{Verdict: Refuse, Reason: reason, Service: service}
 }
--- /dev/null
+++ b/pkg/steer/lapse_test.go
@@ -0,0 +1,48 @@
+package steer_test
+
+import (
+	"testing"
+
+	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"gotest.tools/v3/assert"
+)
+
+// A balancer that started while the platform's store was away listed it before the entries
+// that had expired were back. It reset open flows of servers that it did not know, and
+// refused new ones for want of a server, which uses up callers' attempts.
+func TestFirstListingAfterOutageMayLackServers(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		outage  bool
+		elapsed clock.Millis // since the listing
+		resets  int
+	}{
+		{"store away at the start", true, 100, 0},
+		{"entries had the time to return", true, 2200, 2},
+		{"store available at the start", false, 100, 2},
+	} {
+		c := newCluster(t, 3, 1)
+		holder := c.open(c.balancers[0], 1000)
+		b := &steer.Balancer{}
+		c.balancers = append(c.balancers, b)
+		if row.outage {
+			b.Registry.RecordOutage()
+		}
+		b.Registry.RecordPlatformAnswer(c.now, c.now)
+		b.Registry.ApplyListing(c.now, []steer.Change{{Config: config(1)}})
+		c.now += row.elapsed
+		b.Registry.RecordPlatformAnswer(c.now, c.now)
+		c.send(b, dataPacket(1000, holder.server))
+		c.send(b, steer.Packet{Key: key(1001), SYN: true, Seq: 1})
+		assert.Equal(t, len(c.resets), row.resets, row.name)
+		for id, h := range c.hosts {
+			if h == holder {
+				c.apply(steer.Change{Server: c.entry(id, steer.Serving)})
+			}
+		}
+		if row.outage && row.resets == 0 {
+			assert.Equal(t, c.send(b, dataPacket(1000, holder.server)), holder, "the flow goes on")
+		}
+	}
+}
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -125,6 +125,9 @@
 	platformLost bool         // the platform does not answer
 	platformBack clock.Millis // end of the platform's last outage
 	hasListing   bool         // a whole listing has been received
+	// firstAfterOutage is set if the first listing of this process followed an outage of the
+	// platform: entries that expired meanwhile were never known here.
+	firstAfterOutage bool
 	// restoreHeldUntil is the end of the time in which a restored store may lack what
 	// was written before, 0 if it was never restored.
 	restoreHeldUntil clock.Millis
@@ -194,7 +197,9 @@
 		}
 	}
 	events = append(events, r.Apply(now, applied)...)
-	r.hasListing = true
+	if !r.hasListing {
+		r.hasListing, r.firstAfterOutage = true, r.platformBack != 0
+	}
 	return events
 }
 
@@ -430,6 +435,12 @@
 	return true, now + recheckInterval
 }
 
+// MayLackServers reports whether running servers may be unknown: the first listing followed
+// an outage of the platform, and entries that expired in it may still return.
+func (r *Registry) MayLackServers(now clock.Millis) bool {
+	return r.firstAfterOutage && now < r.platformBack+EntryReturnTime && !r.Disabled.Has(AwaitEntry)
+}
+
 // AwaitingReturn reports whether the entry of a server that was not draining may still
 // return, and how long the next request to the platform can wait: an answer to an
 // earlier one could not confirm that the entry did not return.
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -186,6 +186,8 @@
 			s.trying, s.roundSize = true, searchGrowth
 		}
 		return b.ask(now, s, plan.try, false)
+	case b.Registry.MayLackServers(now):
+		return b.end(s, Decision{Verdict: Drop, Reason: StaleView}) // the holder may not be listed yet
 	}
 	reason := AllDenied
 	if plan.anyAbandoned {
