Let the soak switch on the settings for heavy load

Cause: the soak did not know the queue for all work, the verdicts and the order by spare capacity. Without it, runs are as before.

--- a/cmd/doghunt/main.go
+++ b/cmd/doghunt/main.go
@@ -25,6 +25,7 @@
 	Servers   int     `arg:"--servers" default:"6"`
 	Callers   int     `arg:"--callers" default:"12"`
 	Block     byte    `arg:"--block" default:"90" help:"second byte of the loopback addresses"`
+	Load      bool    `arg:"--load" help:"switch on the settings for heavy load"`
 	Again     string  `arg:"--again" help:"replay the seeds that the lines of this file begin with"`
 	Verbose   bool    `arg:"--verbose" help:"print each injected fault"`
 }
@@ -92,7 +93,7 @@
 		report = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 	}
 	s := soak.Soak{Program: a.Program, Dir: dir, Seed: seed, BalancerCount: a.Balancers, ServerCount: a.Servers, CallerCount: a.Callers,
-		FaultDuration: time.Duration(a.Seconds * float64(time.Second)), Block: a.Block, Logf: report}
+		FaultDuration: time.Duration(a.Seconds * float64(time.Second)), Block: a.Block, LoadSettings: a.Load, Logf: report}
 	result, err := s.Run()
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -42,9 +42,12 @@
 	BalancerCount int
 	ServerCount   int
 	CallerCount   int
-	FaultDuration time.Duration                    // faults are injected for this long
-	Block         byte                             // second byte of the loopback addresses
-	Logf          func(format string, args ...any) // called for each fault
+	FaultDuration time.Duration // faults are injected for this long
+	// LoadSettings switches on the parts for heavy load: the queue for all work, verdicts on
+	// servers, and the order by spare capacity. The servers then have two slots for four.
+	LoadSettings bool
+	Block        byte                             // second byte of the loopback addresses
+	Logf         func(format string, args ...any) // called for each fault
 
 	random        *rand.Rand
 	store         *fakes.Store
@@ -115,6 +118,9 @@
 		}
 		settings := setup.PathAgent{Path: s.pathSettings("agent", 2, i), Outbound: s.addr(2, i, outboundPort).String(),
 			Server: s.addr(2, i, serverPort).String(), Service: "desk"}
+		if s.LoadSettings {
+			settings.Queue, settings.Health = setup.QueueAllWork, setup.HealthByTraffic
+		}
 		h.agent = &process{name: settings.Path.Name}
 		if err := s.launch(h.agent, "agent", settings); err != nil {
 			return err
@@ -127,6 +133,9 @@
 			return err
 		}
 		settings := setup.PathBalancer{Path: s.pathSettings("balancer", 1, i), Store: p.Address(), Agents: s.addr(1, i, agentsPort).String(), EvacuateMs: 5000}
+		if s.LoadSettings {
+			settings.Balance = setup.BalanceByRoom
+		}
 		b := &balancer{proxy: p, process: process{name: settings.Path.Name}}
 		if err := s.launch(&b.process, "balancer", settings); err != nil {
 			return err
@@ -136,6 +145,14 @@
 	return nil
 }
 
+// slots returns how many requests a server reports that it runs at once.
+func (s *Soak) slots() int {
+	if s.LoadSettings {
+		return 2
+	}
+	return 4
+}
+
 // pathSettings returns the settings that balancers and agents share.
 func (s *Soak) pathSettings(role string, subnet byte, index int) setup.Path {
 	return setup.Path{Name: fmt.Sprint(role, "-", index), Host: s.addr(subnet, index, 0).Addr().String(),
@@ -219,7 +236,7 @@
 func (s *Soak) publish(h *serverHost) {
 	h.publishedAt = time.Now()
 	s.store.Publish(h.serverName, fakes.Entry{Backend: "desk", Addr: s.addr(2, h.index, serverPort).String(), Zone: h.dataCentre,
-		Slots: 4, State: h.serverState, Born: h.serverChanged.UnixMilli()})
+		Slots: s.slots(), State: h.serverState, Born: h.serverChanged.UnixMilli()})
 }
 
 // probeBalancers checks the readiness of the balancers as the routers do: two failed
