Let the agent's timers run while datagrams arrive

Cause: each datagram postponed the timer by 20 ms that runs the agent's decisions early while work is queued. Under load datagrams come every two milliseconds, so it ran once a second at most.

Change: the timer is set only if it is not pending.

The test opened 4 of 12 flows before.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -53,7 +53,7 @@
 	packets       *net.UDPConn            // for messages from and to balancers
 	outbound      *net.UDPConn            // for packets of the server and to callers
 	server        *net.UDPConn            // connected to the server
-	queueTimer    *time.Timer             // runs the timers early while SYNs are queued or a judged server must answer
+	queueTimer    earlyTimer              // runs the timers early while SYNs are queued or a judged server must answer
 	releaseBuffer []byte                  // of releaseQueued
 	packetPort    uint16                  // of callers, the same as that of packets
 	metricSet     *metrics.Set
@@ -93,7 +93,7 @@
 		return err
 	}
 	a.limitedLog = newLimitedLog(a.Log)
-	a.queueTimer = time.NewTimer(queueInterval)
+	a.queueTimer = newEarlyTimer(queueInterval)
 	a.balancers = make(map[netip.AddrPort]bool)
 	a.releaseBuffer = make([]byte, headroom, headroom+maxPacketBytes)
 	a.registerMetrics()
@@ -304,9 +304,9 @@
 	}
 	switch {
 	case a.core.QueueLength() > 0:
-		a.queueTimer.Reset(queueInterval)
+		a.queueTimer.set(queueInterval)
 	case a.core.AwaitsServer():
-		a.queueTimer.Reset(health.TickInterval.Duration())
+		a.queueTimer.set(health.TickInterval.Duration())
 	}
 }
 
@@ -395,6 +395,7 @@
 // tick runs the timers.
 func (a *Agent) tick() {
 	now := a.Clock.Now()
+	a.queueTimer.fired()
 	a.checkSuspension(now)
 	a.core.Tick(now)
 	a.releaseQueued(now)
--- a/internal/path/queue_test.go
+++ b/internal/path/queue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"sync"
@@ -9,6 +11,7 @@
 	"time"
 
 	"dogwoodlanding.example/dogwood/internal/setup"
+	"dogwoodlanding.example/dogwood/pkg/steer"
 	"dogwoodlanding.example/dogwood/platform/fakes"
 	"gotest.tools/v3/assert"
 )
@@ -57,6 +60,44 @@
 	assert.Equal(t, f.servers["s0"].ModifiedPackets(), 0)
 }
 
+// Callers that are gone never send the request of their flow. While datagrams came more
+// often than the timers run, the agent went on waiting for those requests: its server idled
+// behind a full queue.
+func TestCallersThatAreGoneBlockNoQueue(t *testing.T) {
+	f := newFleet(t, 0, 0)
+	f.queue = setup.QueueAllWork
+	f.startServer(0)
+	f.startAgent(0)
+	f.eventually(func() bool { return f.logs.contains("started") }, "the agent is started")
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(f.addr("balancer", 0, agentsPort)))
+	assert.NilError(t, err)
+	defer conn.Close()
+	agent := net.UDPAddrFromAddrPort(f.addr("server", 0, packetPort))
+	offer := func(m steer.Message, p fakes.Packet) {
+		m.Kind, m.Service, m.Revision, m.Slots, m.TimeLimit = steer.OfferPacket, steer.ServiceOf("desk"), 1, 2, 1500
+		datagram := make([]byte, m.Size())
+		m.Encode(datagram)
+		_, err := conn.WriteToUDP(append(datagram, p.Encode()...), agent)
+		assert.NilError(t, err)
+	}
+	packet := func(port uint16) fakes.Packet {
+		return fakes.Packet{Source: netip.AddrPortFrom(f.addr("caller", 0, 0).Addr(), port), Target: serviceAddr, Seq: 1}
+	}
+	const flows = 12 // the agent opens four at a time
+	for port := range uint16(flows) {
+		syn := packet(4000 + port)
+		syn.Flags = fakes.FlagSyn
+		offer(steer.Message{LastOffer: true}, syn)
+	}
+	for range 200 {
+		search := packet(5000)
+		search.Flags = fakes.FlagAck
+		offer(steer.Message{KnownOnly: true}, search)
+		time.Sleep(2 * time.Millisecond)
+	}
+	assert.Equal(t, f.metric("server", 0, "dogwood_agent_opened_total"), float64(flows))
+}
+
 // metric returns the value of a metric, given with its labels, of a process.
 func (f *fleet) metric(kind string, i int, name string) float64 {
 	f.t.Helper()
