Bound what a repeated request adds to the wait for requests

Cause: an agent waits four times the mean delay from a SYN-ACK to its request before it gives the opening to another flow. Requests that were sent again after 200 ms or more raised that wait to 400 ms, and callers that are gone then block a server for as long.

Change: a sample counts at most twice the mean.

--- a/pkg/steer/flows.go
+++ b/pkg/steer/flows.go
@@ -91,7 +91,7 @@
 	isNew := false
 	if end := p.Seq + uint32(p.Bytes); p.Bytes > 0 && (e.dataEnd == 0 || int32(end-e.dataEnd) > 0) {
 		if !e.gotRequest && e.hasServerISN {
-			a.meanRequestDelay += (float64(now-e.since) - a.meanRequestDelay) * meanWeight
+			a.recordRequestDelay(now - e.since)
 		}
 		if !e.gotRequest && e.inLoad {
 			a.expected--
@@ -109,6 +109,14 @@
 	}
 }
 
+// recordRequestDelay adds the time from a SYN-ACK to the request to the mean. A sample counts
+// at most twice the mean: requests that are sent again after 200 ms or more, since the first
+// copy was lost, are rare but would raise the mean tenfold.
+func (a *Agent) recordRequestDelay(delay clock.Millis) {
+	bounded := min(float64(delay), max(2*a.meanRequestDelay, float64(minRequestDelay)/requestDelayFactor))
+	a.meanRequestDelay += (bounded - a.meanRequestDelay) * meanWeight
+}
+
 // requestTimeout returns how long the request of an opened flow is waited for.
 func (a *Agent) requestTimeout() clock.Millis {
 	return max(minRequestDelay, min(maxRequestDelay, clock.Millis(requestDelayFactor*a.meanRequestDelay)))
--- a/pkg/steer/queue_test.go
+++ b/pkg/steer/queue_test.go
@@ -217,6 +217,34 @@
 	assert.Equal(t, agent.Load(), 0)
 }
 
+// One request in ten is sent again after 200 or 600 ms, since the first copy was lost. The
+// agent used to wait 400 ms for each request then, and its server idled when callers were
+// gone.
+func TestRepeatedRequestsProlongNoWait(t *testing.T) {
+	s := newAgentSim()
+	open := func(port int) steer.Packet {
+		p := steer.Packet{Key: key(port), SYN: true}
+		m := steer.Message{Kind: steer.OfferPacket, Service: steer.ServiceOf("desk"), Revision: 1, Slots: 2, LastOffer: true}
+		assert.Equal(t, s.agent.FromBalancer(s.now, s.from, &m, p).Verdict, steer.Deliver)
+		s.agent.FromServer(s.now, steer.Packet{Key: p.Key, SYN: true, HasACK: true, Seq: 7}, &m)
+		return p
+	}
+	for port := range 60 {
+		p := open(port)
+		s.now += 4
+		if port%10 == 9 {
+			s.now += []clock.Millis{200, 600}[port/10%2]
+		}
+		m := steer.Message{Kind: steer.OfferPacket, Service: steer.ServiceOf("desk"), Revision: 1, Slots: 2}
+		s.agent.FromBalancer(s.now, s.from, &m, steer.Packet{Key: p.Key, HasACK: true, Ack: 8, Seq: 1, Bytes: 10})
+		s.agent.FromServer(s.now, steer.Packet{Key: p.Key, HasACK: true, Seq: 8, Bytes: 10}, &m)
+	}
+	open(100)
+	s.now += 30
+	s.agent.Tick(s.now)
+	assert.Equal(t, s.agent.Load(), 0)
+}
+
 func TestAgentReportsAnswerTimes(t *testing.T) {
 	type answer struct{ took, goal clock.Millis }
 	for _, row := range []struct {
