Ask agents about many lost flows in one message

Cause: a search sends the packet to each agent that may hold the flow, and takes it back in kind from most.

Change: agents say that they answer queries; a search then asks them with 17 bytes a flow, many flows in one message, in rounds 4 ms apart, the first at once. The packet stays at the balancer and goes to the holder only. Agents of earlier versions are sent the packet as before. QueryMany disables it.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -244,10 +244,29 @@
 			a.sendPong(from)
 			return
 		}
+		if m.Kind == steer.QueryFlows {
+			a.answerQuery(now, from, &m, rest)
+			return
+		}
 		a.handleOffer(now, from, &m, raw, len(rest))
 	}).run()
 }
 
+// answerQuery tells a balancer which of several flows the server holds.
+func (a *Agent) answerQuery(now clock.Millis, from netip.AddrPort, m *steer.Message, encoded []byte) {
+	flows, err := steer.DecodeFlows(encoded)
+	if err != nil {
+		a.limitedLog.info(now, "query dropped", "from", from, "err", err)
+		return
+	}
+	for _, answer := range a.core.AnswerQuery(now, m, flows) {
+		if answer.Message.Kind == steer.DenyFlows {
+			a.limitedLog.info(now, "query", "decision", decisionText(steer.Deny, answer.Message.Reason), "flows", len(answer.Flows), "balancer", from.Addr())
+		}
+		a.limitedLog.sendOrLog(now, a.packets, answer.Encode(), from)
+	}
+}
+
 // recordBalancer records a balancer that announceShutdown must notify.
 func (a *Agent) recordBalancer(balancer netip.AddrPort) {
 	if !a.balancers[balancer] && len(a.balancers) < maxBalancers {
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -48,6 +48,7 @@
 	viewChangedAt     clock.Millis
 	viewAsOf          clock.Millis  // when the last request that the store answered was sent
 	startTimer        *time.Timer   // runs the timers early while agents start
+	queryTimer        earlyTimer    // sends the next round of queries
 	relistRequests    chan struct{} // requests a listing of the store, after a suspension
 	refreshRequests   chan struct{} // requests an immediate answer of the store
 	firstListing      chan struct{} // closed after the first listing
@@ -75,11 +76,13 @@
 	// viewAge is how old the view was when a newer answer of the store replaced it.
 	viewAge       *metrics.Histogram
 	storeFailures *metrics.Counter
-	storeRestores *metrics.Counter
-	listTime      *metrics.Histogram
-	transfer      transferMetrics
-	serviceLevel  serviceLevel
-	rooms         map[string]bool // services whose estimates have metrics
+	// queries counts the messages that asked agents about flows, queriedFlows those flows.
+	queries, queriedFlows *metrics.Counter
+	storeRestores         *metrics.Counter
+	listTime              *metrics.Histogram
+	transfer              transferMetrics
+	serviceLevel          serviceLevel
+	rooms                 map[string]bool // services whose estimates have metrics
 }
 
 // init opens the sockets and sets the unexported fields.
@@ -103,7 +106,7 @@
 	b.core.EvacuationGracePeriod = clock.Millis(b.Settings.EvacuateMs)
 	b.limitedLog = newLimitedLog(b.Log)
 	b.resumeBuffer = make([]byte, headroom+maxPacketBytes)
-	b.startTimer = time.NewTimer(tickInterval)
+	b.startTimer, b.queryTimer = time.NewTimer(tickInterval), newEarlyTimer(tickInterval)
 	b.relistRequests, b.refreshRequests, b.firstListing = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	set := metrics.NewSet()
 	registerDroppedLines(set, b.DroppedLines)
@@ -116,6 +119,8 @@
 		storeFailures:  set.NewCounter("dogwood_store_failures_total"),
 		storeRestores:  set.NewCounter("dogwood_store_restores_total"),
 		listTime:       set.NewHistogram("dogwood_store_list_seconds"),
+		queries:        set.NewCounter("dogwood_balancer_queries_total"),
+		queriedFlows:   set.NewCounter("dogwood_balancer_queried_flows_total"),
 	}
 	b.initResync()
 	b.stats.serviceLevel = serviceLevel{set: set, clock: b.Clock, dataCentre: b.Settings.Path.DataCentre}
@@ -142,6 +147,7 @@
 	}()
 	go b.readAgents()
 	go runEvery(background, tickInterval, b.startTimer.C, &b.mu, b.tick)
+	go runEvery(background, tickInterval, b.queryTimer.C, &b.mu, b.queryTimerFired)
 	b.Log.Info("started", "packets", b.Settings.Path.Packets, "store", b.Settings.Store, "balance", b.Settings.Balance)
 	<-ctx.Done()
 	b.mu.Lock()
@@ -226,6 +232,8 @@
 			b.core.DeniedKept(now, agent, &m)
 		case m.Kind == steer.DenyPacket:
 			b.handleDenial(now, agent, &m, raw, len(rest))
+		case m.Kind == steer.DenyFlows:
+			b.handleDeniedFlows(now, agent, &m, rest)
 		case b.core.HandleMessage(now, agent, &m):
 			b.Log.Info("agent regained", "agent", from.Addr())
 		}
@@ -254,6 +262,16 @@
 	b.execute(d, p, m, raw)
 }
 
+// handleDeniedFlows handles an agent's denial of flows that a query asked about.
+func (b *Balancer) handleDeniedFlows(now clock.Millis, agent place.ID, m *steer.Message, encoded []byte) {
+	flows, err := steer.DecodeFlows(encoded)
+	if err != nil {
+		b.limitedLog.info(now, "message dropped", "from", steer.AddrOf(agent), "err", err)
+		return
+	}
+	b.core.DeniedFlows(now, agent, m, flows)
+}
+
 // recordDecision counts a decision. It logs it unless the owner of the flow is known,
 // or the packet is the original SYN of a new flow.
 func (b *Balancer) recordDecision(now clock.Millis, p steer.Packet, d steer.Decision, m *steer.Message) {
@@ -316,6 +334,7 @@
 
 // resumeParked carries out the decisions on parked packets that can be decided on.
 func (b *Balancer) resumeParked(now clock.Millis) {
+	defer b.sendQueries()
 	for {
 		r, ok := b.core.Resume(now)
 		if !ok {
@@ -331,6 +350,29 @@
 	}
 }
 
+// queryTimerFired sends the queries that have waited for their round.
+func (b *Balancer) queryTimerFired() {
+	b.queryTimer.fired()
+	b.sendQueries()
+}
+
+// sendQueries sends the queries to agents that are due.
+func (b *Balancer) sendQueries() {
+	now := b.Clock.Now()
+	for {
+		q, ok := b.core.NextQuery(now)
+		if !ok {
+			break
+		}
+		b.stats.queries.Inc()
+		b.stats.queriedFlows.Add(len(q.Flows))
+		b.limitedLog.sendOrLog(now, b.agents, q.Encode(), netip.AddrPortFrom(steer.AddrOf(q.To), b.packetPort))
+	}
+	if delay, waiting := b.core.QueryDelay(now); waiting {
+		b.queryTimer.set(delay.Duration())
+	}
+}
+
 // tick runs the timers.
 func (b *Balancer) tick() {
 	now := b.Clock.Now()
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -217,6 +217,33 @@
 	assert.Assert(t, f.logs.contains("Refuse:EveryoneDenied"), "the log has the reason")
 }
 
+// Queries between real processes must find holders and conclude that there is none.
+func TestFlowsAreFoundByQueries(t *testing.T) {
+	f := newFleet(t, 2, 9)
+	var flows []*fakes.Flow
+	var servers []string
+	for i := range 20 {
+		flow, server := f.openFlow(fmt.Sprint("first", i))
+		flows, servers = append(flows, flow), append(servers, server)
+	}
+	f.routedTo.Store(1)
+	f.servers[servers[0]].Stop()
+	f.startServer(int(servers[0][1] - '0'))
+	for i, flow := range flows {
+		server, err := flow.SendRequest(fmt.Sprint("second", i), 2*time.Second)
+		if servers[i] == servers[0] {
+			assert.ErrorIs(t, err, fakes.ErrReset)
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, server, servers[i])
+	}
+	assert.Assert(t, f.metric("balancer", 1, "dogwood_balancer_queries_total") > 0)
+	for _, s := range f.servers {
+		assert.Equal(t, s.ModifiedPackets(), 0)
+	}
+}
+
 // A flow without a holder must be reset also if the view is too old to conclude that no
 // server holds it: the packet waits until the store has answered.
 func TestFlowWithoutHolderIsResetAfterStoreRefresh(t *testing.T) {
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -224,7 +224,7 @@
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
 
-// Report fills in what a message tells balancers of the server. There is no report before
+// Report fills in what a message tells balancers of the agent and its server. There is no report before
 // the utilization has been measured for long enough, unless the server is judged bad.
 func (a *Agent) Report(m *Message) {
 	m.Utilization, m.HasReport = a.utilization.percent()
@@ -232,6 +232,7 @@
 		m.Utilization, m.HasReport = m.Utilization+unhealthyUtilization, true
 	}
 	m.ServiceTime = clock.Millis(a.meanServiceTime)
+	m.AnswersQueries = !a.Disabled.Has(QueryMany)
 }
 
 // synPacket decides on the SYN of a flow.
@@ -337,25 +338,18 @@
 
 // laterPacket decides on a packet of an open flow.
 func (a *Agent) laterPacket(now clock.Millis, from netip.AddrPort, m *Message, p Packet, e *flowEntry) Outcome {
-	switch {
-	case a.serverGone(now):
-		return a.deny(from, m, ServerGone)
-	case e == nil && a.knowsAllFlows(now):
-		return a.deny(from, m, NotHeld)
-	case m.KnownOnly && (e == nil || e.phase == probing):
-		if !a.missedFlow {
-			m.AgentStartMs = a.StartMs
+	if reason := a.laterDenial(now, m, p.Key, p.HasACK, p.Ack); reason != NoReason {
+		if e != nil && e.phase == returned {
+			e.lastSeen = now
 		}
-		return a.deny(from, m, FlowUnknown)
+		m.AgentStartMs = a.startOfRecords(reason)
+		return a.deny(from, m, reason)
+	}
+	switch {
 	case e == nil:
 		stored := *m
 		e = &flowEntry{phase: probing, since: now, message: &stored}
 		a.flows[p.Key] = e
-	case e.phase == returned: // final: only a SYN opens a flow
-		e.lastSeen = now
-		return a.deny(from, m, NotHeld)
-	case e.hasServerISN && p.HasACK && p.Ack-e.serverISN > ackWindow && !a.Disabled.Has(CheckAck):
-		return a.deny(from, m, AckMismatch)
 	case e.phase == probing, m.VisitedCount > 0:
 		e.storeMessage(m)
 	}
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -60,6 +60,7 @@
 	rooms        map[string]*room.Table   // by service
 	parked       []parkedPacket
 	searches     map[flow.Key]*search
+	queries      queries
 	ready        []readyPacket // for Resume
 	readyMessage Message       // of the last one
 	unkept       *[]byte       // where KeepRaw stores the bytes of the last packet
@@ -140,7 +141,7 @@
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
 	b.init()
 	b.recordReport(now, from, m)
-	b.recordAnswer(from)
+	b.recordAnswer(from, m)
 	view := b.Registry.View(now)
 	if view == nil {
 		return Decision{Verdict: Drop, Reason: NoView}
@@ -169,7 +170,7 @@
 	s := b.searches[m.Key]
 	if s == nil {
 		b.recordReport(now, from, m)
-		b.recordAnswer(from)
+		b.recordAnswer(from, m)
 		return // the holder has been found meanwhile
 	}
 	d := b.Denied(now, from, s.packet, m)
@@ -299,15 +300,7 @@
 	if b.evacuationEnded(now, view, to) {
 		return Decision{Verdict: Drop, Reason: OutOfService}
 	}
-	s := view.serverByAgent[to]
-	m.Service, m.Revision, m.State, m.ColdRate, m.ColdLeft = ServiceOf(service), 0, Unlisted, 0, 0
-	if s != nil {
-		m.State, m.Revision, m.Slots = s.State, s.Revision, s.Slots
-		if _, evacuated := view.evacuated[s.DataCentre]; evacuated && m.State == Serving {
-			m.State = Leaving
-		}
-		b.setColdLimit(now, view, s, m)
-	}
+	b.describeServer(now, view, to, service, m)
 	if p.SYN && m.Reason == NewFlow {
 		m.TypicalTime = b.recordSent(now, service, to)
 	}
@@ -317,6 +310,20 @@
 	return Decision{Verdict: Offer, Reason: m.Reason, To: to}
 }
 
+// describeServer fills in the state of an agent's server.
+func (b *Balancer) describeServer(now clock.Millis, view *View, agent place.ID, service string, m *Message) {
+	m.Service, m.Revision, m.State, m.ColdRate, m.ColdLeft = ServiceOf(service), 0, Unlisted, 0, 0
+	s := view.serverByAgent[agent]
+	if s == nil {
+		return
+	}
+	m.State, m.Revision, m.Slots = s.State, s.Revision, s.Slots
+	if _, evacuated := view.evacuated[s.DataCentre]; evacuated && m.State == Serving {
+		m.State = Leaving
+	}
+	b.setColdLimit(now, view, s, m)
+}
+
 // setColdLimit fills in the rate of new flows that the server can take while it is
 // cold, and how long it stays cold.
 func (b *Balancer) setColdLimit(now clock.Millis, view *View, s *Server, m *Message) {
@@ -331,7 +338,7 @@
 func (b *Balancer) HandleMessage(now clock.Millis, from place.ID, m *Message) bool {
 	b.init()
 	b.recordReport(now, from, m)
-	wasSilent := b.recordAnswer(from)
+	wasSilent := b.recordAnswer(from, m)
 	switch m.Kind {
 	case HoldFlow:
 		b.owners.Put(now, m.Key.Hash(), from)
--- a/pkg/steer/cluster_test.go
+++ b/pkg/steer/cluster_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
 	"dogwoodlanding.example/dogwood/pkg/flow"
 	"dogwoodlanding.example/dogwood/pkg/place"
 	"dogwoodlanding.example/dogwood/pkg/steer"
+	"gotest.tools/v3/assert"
 )
 
 // serviceAddr is the address of the test's route.
@@ -22,6 +26,7 @@
 	balancers []*steer.Balancer
 	hosts     map[place.ID]*host // by agent
 	offers    int                // packets that balancers offered
+	queries   int                // messages that asked agents about flows
 	resets    []flow.Key         // flows whose caller was sent a reset
 	lastReset steer.Packet       // packet that the last reset answered
 	drops     []steer.Reason     // of packets that balancers dropped or parked
@@ -33,7 +38,10 @@
 	centre      string
 	agent       *steer.Agent
 	unreachable bool // the agent does not answer
-	server      *server
+	// earlierVersion means that the agent ignores queries and says nothing of them.
+	earlierVersion bool
+	deliveries     int // packets that the server accepted
+	server         *server
 }
 
 // server is a backend server that returns packets of flows that it does not hold.
@@ -110,6 +118,9 @@
 	var accepted *host
 	for range 10_000 {
 		r, ok := b.Resume(c.now)
+		if !ok && c.query(b) {
+			continue
+		}
 		if !ok {
 			return accepted
 		}
@@ -121,6 +132,39 @@
 	return nil
 }
 
+// query delivers the next round of a balancer's queries and the answers, and reports whether
+// there was one.
+func (c *cluster) query(b *steer.Balancer) bool {
+	delay, waiting := b.QueryDelay(c.now)
+	c.now += delay
+	for {
+		q, ok := b.NextQuery(c.now)
+		if !ok {
+			return waiting
+		}
+		c.queries++
+		if h := c.hosts[q.To]; h != nil && !h.unreachable && !h.earlierVersion {
+			for _, answer := range h.agent.AnswerQuery(c.now, &q.Message, q.Flows) {
+				c.receive(b, q.To, answer)
+			}
+		}
+	}
+}
+
+// receive passes a part of an agent's answer to a balancer, encoded and decoded.
+func (c *cluster) receive(b *steer.Balancer, from place.ID, answer steer.FlowsMessage) {
+	var m steer.Message
+	rest, err := m.Decode(answer.Encode())
+	assert.NilError(c.t, err)
+	flows, err := steer.DecodeFlows(rest)
+	assert.NilError(c.t, err)
+	if m.Kind == steer.DenyFlows {
+		b.DeniedFlows(c.now, from, &m, flows)
+		return
+	}
+	b.HandleMessage(c.now, from, &m)
+}
+
 // execute carries out a balancer's decisions on a packet and returns the host whose
 // server accepted it, or nil.
 func (c *cluster) execute(b *steer.Balancer, d steer.Decision, p steer.Packet, m *steer.Message) *host {
@@ -135,6 +179,7 @@
 			out = c.deliver(h, b, p, m, out)
 		}
 		c.reportHolder(b, d.To, p, out)
+		m.AnswersQueries = m.AnswersQueries && !h.earlierVersion
 		if out.Verdict != steer.Deny {
 			if out.Verdict == steer.ToCaller {
 				return h
@@ -170,6 +215,7 @@
 		s.flows[p.Key] = true
 		return h.agent.FromServer(c.now, steer.Packet{Key: p.Key, SYN: true, HasACK: true, Seq: s.seq}, m)
 	case s.flows[p.Key]:
+		h.deliveries++
 		if delivered.ReportTo.IsValid() {
 			c.reportHolder(b, steer.AgentOf(c.agentAddr(h)), p, delivered)
 		}
@@ -237,6 +283,13 @@
 	}
 }
 
+// sorted returns the hosts in the order of their names.
+func (c *cluster) sorted() []*host {
+	hosts := slices.Collect(maps.Values(c.hosts))
+	slices.SortFunc(hosts, func(a, b *host) int { return strings.Compare(a.name, b.name) })
+	return hosts
+}
+
 // agentOf returns the agent of a host.
 func (c *cluster) agentOf(h *host) place.ID { return steer.AgentOf(c.agentAddr(h)) }
 
--- a/pkg/steer/mechanism.go
+++ b/pkg/steer/mechanism.go
@@ -71,6 +71,8 @@
 	QueueEarly
 	// A server that fails too many requests receives new flows only as trials.
 	EjectUnhealthy
+	// Searches ask agents about many flows in one message.
+	QueryMany
 	mechanismCount // not a mechanism
 )
 
--- a/pkg/steer/mechanism_string.go
+++ b/pkg/steer/mechanism_string.go
@@ -35,12 +35,13 @@
 	_ = x[OrderByRoom-24]
 	_ = x[QueueEarly-25]
 	_ = x[EjectUnhealthy-26]
-	_ = x[mechanismCount-27]
+	_ = x[QueryMany-27]
+	_ = x[mechanismCount-28]
 }
 
-const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAckBoundSearchOrderByRoomQueueEarlyEjectUnhealthynot a mechanism"
+const _Mechanism_name = "OwnerCacheRotateCopiesSilentLastQueueAtLeastBusyPreferLocalSettleAwaitEntryParkLimitSearchReadyByReachResetUnreachableAwaitAgentsPassOnQueueInTimeFirstCopyAgeUrgentFirstNewestFirstCutQueueExtraFlowsProbeSilentServerAssumeColdCheckAckBoundSearchOrderByRoomQueueEarlyEjectUnhealthyQueryManynot a mechanism"
 
-var _Mechanism_index = [...]uint16{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 129, 135, 140, 151, 158, 169, 180, 188, 198, 215, 225, 233, 244, 255, 265, 279, 294}
+var _Mechanism_index = [...]uint16{0, 10, 22, 32, 48, 59, 65, 75, 79, 90, 102, 118, 129, 135, 140, 151, 158, 169, 180, 188, 198, 215, 225, 233, 244, 255, 265, 279, 288, 303}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -13,8 +13,8 @@
 // MessageKind is the purpose of a message between a balancer and an agent.
 type MessageKind uint8
 
-// Kinds of messages. OfferPacket and DenyPacket are followed by the packet. A
-// trailing comment is the text that String returns.
+// Kinds of messages. OfferPacket and DenyPacket are followed by the packet, QueryFlows and
+// DenyFlows by flows. A trailing comment is the text that String returns.
 const (
 	// A balancer offers the packet to the agent.
 	OfferPacket MessageKind = iota + 1
@@ -28,6 +28,11 @@
 	Pong
 	// The agent announces that its process shuts down.
 	Shutdown // Goodbye
+	// The balancer asks which of several flows the agent's server holds. The agent replies
+	// with HoldFlow and DenyFlows.
+	QueryFlows
+	// The agent's server does not hold these flows of a QueryFlows.
+	DenyFlows
 )
 
 // MaxVisited is the number of agents that a message has room for.
@@ -73,16 +78,19 @@
 	// HasReport says that Utilization and ServiceTime are set. They are sent in the place of
 	// ColdRate and ColdLeft, which an agent's message does not need; a message to an agent
 	// has no report.
-	HasReport     bool
-	Utilization   int                // of the server: the share of its slots that was in use lately, percent
-	ServiceTime   clock.Millis       // of the server: mean time to the first byte of an answer, 0 if not known
-	Load          int                // of a DenyPacket: Agent.Load
-	Slots         int                // requests that the server can run at once
-	LeastBusy     place.ID           // least busy agent that denied the packet, 0 if none
-	LeastBusyLoad int                // its requests in percent of its slots
-	Key           flow.Key           // of a HoldFlow, or of a denial without a packet
-	Visited       [MaxVisited]uint32 // agents that denied the SYN
-	VisitedCount  int                // entries of Visited in use
+	HasReport bool
+	// AnswersQueries says of an agent's message that the agent replies to QueryFlows. Agents
+	// of earlier versions do not set it.
+	AnswersQueries bool
+	Utilization    int                // of the server: the share of its slots that was in use lately, percent
+	ServiceTime    clock.Millis       // of the server: mean time to the first byte of an answer, 0 if not known
+	Load           int                // of a DenyPacket: Agent.Load
+	Slots          int                // requests that the server can run at once
+	LeastBusy      place.ID           // least busy agent that denied the packet, 0 if none
+	LeastBusyLoad  int                // its requests in percent of its slots
+	Key            flow.Key           // of a HoldFlow, or of a denial without a packet
+	Visited        [MaxVisited]uint32 // agents that denied the SYN
+	VisitedCount   int                // entries of Visited in use
 }
 
 // Sizes of an encoded message in bytes.
@@ -100,6 +108,7 @@
 	flagAgentStarted = 1 << 4
 	flagReport       = 1 << 5
 	flagNoOthers     = 1 << 6
+	flagAnswers      = 1 << 7
 )
 
 // Units of times that are sent in one byte. Larger times are sent as 255 units.
@@ -150,7 +159,12 @@
 
 // reports reports whether the message is encoded with a report of its agent.
 func (m *Message) reports() bool {
-	return m.HasReport && (m.Kind == DenyPacket || m.Kind == HoldFlow || m.Kind == Pong)
+	return m.HasReport && m.fromAgent()
+}
+
+// fromAgent reports whether the message tells of the agent that sends it.
+func (m *Message) fromAgent() bool {
+	return m.Kind == DenyPacket || m.Kind == HoldFlow || m.Kind == Pong || m.Kind == DenyFlows
 }
 
 func (m *Message) flags() byte {
@@ -176,6 +190,9 @@
 	if m.NoOthers {
 		f |= flagNoOthers
 	}
+	if m.AnswersQueries && m.fromAgent() {
+		f |= flagAnswers
+	}
 	return f
 }
 
@@ -187,7 +204,7 @@
 	}
 	count := binary.BigEndian.Uint32(b[44:])
 	kind := MessageKind(b[0])
-	if kind < OfferPacket || kind > Shutdown || count > MaxVisited || len(b) < headerBytes+4*int(count) {
+	if kind < OfferPacket || kind > DenyFlows || count > MaxVisited || len(b) < headerBytes+4*int(count) {
 		return nil, ErrMessage
 	}
 	m.Kind, m.Reason, m.State = kind, Reason(b[1]), ServerState(b[3])
@@ -198,7 +215,7 @@
 	if b[2]&flagAgentStarted != 0 {
 		m.Revision, m.AgentStartMs = 0, int64(m.Revision)
 	}
-	m.HasReport, m.NoOthers = b[2]&flagReport != 0, b[2]&flagNoOthers != 0
+	m.HasReport, m.NoOthers, m.AnswersQueries = b[2]&flagReport != 0, b[2]&flagNoOthers != 0, b[2]&flagAnswers != 0
 	m.ColdRate, m.ColdLeft, m.Utilization, m.ServiceTime = 0, 0, 0, 0
 	if m.HasReport {
 		m.Utilization = int(binary.BigEndian.Uint16(b[16:]))
--- a/pkg/steer/message_test.go
+++ b/pkg/steer/message_test.go
@@ -14,7 +14,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		small := rapid.IntRange(0, 1<<16-1)
 		m := steer.Message{
-			Kind: steer.MessageKind(rapid.IntRange(1, 6).Draw(t, "kind")), Reason: steer.Reason(rapid.IntRange(0, 20).Draw(t, "reason")),
+			Kind: steer.MessageKind(rapid.IntRange(1, 8).Draw(t, "kind")), Reason: steer.Reason(rapid.IntRange(0, 20).Draw(t, "reason")),
 			LastOffer: rapid.Bool().Draw(t, "final"), Inconclusive: rapid.Bool().Draw(t, "unsure"), KnownOnly: rapid.Bool().Draw(t, "known"), PacketKept: rapid.Bool().Draw(t, "kept"),
 			State: steer.ServerState(rapid.IntRange(0, 2).Draw(t, "state")), Service: steer.ServiceID(rapid.Uint32().Draw(t, "service")),
 			Revision: rapid.Uint64().Draw(t, "revision"), ColdRate: small.Draw(t, "rate"), ColdLeft: clock.Millis(small.Draw(t, "left")),
@@ -23,7 +23,9 @@
 			Key: key(small.Draw(t, "port")), VisitedCount: rapid.IntRange(0, steer.MaxVisited).Draw(t, "count"),
 		}
 		m.TypicalTime, m.TimeLimit = 4*clock.Millis(rapid.IntRange(0, 255).Draw(t, "typical")), 100*clock.Millis(rapid.IntRange(0, 255).Draw(t, "limit"))
-		if m.Kind != steer.OfferPacket && m.Kind != steer.Ping && m.Kind != steer.Shutdown && rapid.Bool().Draw(t, "report") {
+		fromAgent := m.Kind == steer.DenyPacket || m.Kind == steer.HoldFlow || m.Kind == steer.Pong || m.Kind == steer.DenyFlows
+		m.AnswersQueries = fromAgent && rapid.Bool().Draw(t, "answers")
+		if fromAgent && rapid.Bool().Draw(t, "report") {
 			m.HasReport, m.Utilization, m.ServiceTime = true, small.Draw(t, "used"), clock.Millis(small.Draw(t, "took"))
 			m.ColdRate, m.ColdLeft = 0, 0 // the report is sent in their place
 		}
--- a/pkg/steer/messagekind_string.go
+++ b/pkg/steer/messagekind_string.go
@@ -14,11 +14,13 @@
 	_ = x[Ping-4]
 	_ = x[Pong-5]
 	_ = x[Shutdown-6]
+	_ = x[QueryFlows-7]
+	_ = x[DenyFlows-8]
 }
 
-const _MessageKind_name = "OfferPacketDenyPacketHoldFlowPingPongGoodbye"
+const _MessageKind_name = "OfferPacketDenyPacketHoldFlowPingPongGoodbyeQueryFlowsDenyFlows"
 
-var _MessageKind_index = [...]uint8{0, 11, 21, 29, 33, 37, 44}
+var _MessageKind_index = [...]uint8{0, 11, 21, 29, 33, 37, 44, 54, 63}
 
 func (i MessageKind) String() string {
 	idx := int(i) - 1
--- a/pkg/steer/reach.go
+++ b/pkg/steer/reach.go
@@ -43,6 +43,8 @@
 	// endedRevision is the revision of the server's entry when the agent reported
 	// that the server has ended, 0 if it has not.
 	endedRevision uint64
+	// answersQueries is what the agent's last message said.
+	answersQueries bool
 }
 
 // SilentAgent is an agent that no longer replies.
@@ -137,7 +139,7 @@
 
 // recordAnswer records a message from an agent, of whatever kind. It reports whether
 // the agent had been silent.
-func (b *Balancer) recordAnswer(id place.ID) bool {
+func (b *Balancer) recordAnswer(id place.ID, m *Message) bool {
 	state := b.agentStates[id]
 	if state == nil {
 		return false
@@ -147,7 +149,7 @@
 		b.startedAgents++
 	}
 	b.reachChanged = b.reachChanged || state.silent
-	*state = agentState{lastPing: state.lastPing}
+	*state = agentState{lastPing: state.lastPing, answersQueries: m.AnswersQueries}
 	delete(b.awaited, id)
 	return wasSilent
 }
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -37,6 +37,8 @@
 	askedAt   clock.Millis
 	roundSize int
 	trying    bool // the agents try their servers
+	// queried are the agents that were asked without the packet.
+	queried []place.ID
 	// holders are the agents whose servers may hold the flow in a view, in its order.
 	holders   []holder
 	holdersOf *View
@@ -196,12 +198,16 @@
 	return b.end(s, Decision{Verdict: Refuse, Reason: reason, Service: route.service()})
 }
 
-// ask offers the packet to the next agents of a round. Resume returns the offers.
+// ask asks the next agents of a round. Resume returns the offers of the packet, NextQuery the
+// questions to agents that need no packet.
 func (b *Balancer) ask(now clock.Millis, s *search, agents []holder, knownOnly bool) Decision {
 	b.searches[s.packet.Key] = s
 	s.askedAt = now
 	for _, h := range agents[:min(len(agents), s.roundSize)] {
 		s.pending = append(s.pending, h.agent)
+		if knownOnly && b.query(s, h) {
+			continue
+		}
 		b.ready = append(b.ready, readyPacket{packet: s.packet, raw: &s.raw, message: &s.message, since: s.since, to: h, reason: Searching, knownOnly: knownOnly, packetKept: true})
 	}
 	return Decision{Verdict: Wait, Reason: Searching}
@@ -234,19 +240,27 @@
 	}
 	b.end(s, Decision{})
 	b.parked = slices.DeleteFunc(b.parked, func(p parkedPacket) bool { return p.search == s })
+	if slices.Contains(s.queried, owner) {
+		b.forward(now, s, &heldPacket{s.packet, s.raw}, owner)
+	}
 	b.forwardLater(now, s, owner)
 }
 
 // forwardLater offers the packets that came during a search to the flow's owner.
 func (b *Balancer) forwardLater(now clock.Millis, s *search, owner place.ID) {
+	for i := range s.later {
+		b.forward(now, s, &s.later[i], owner)
+	}
+}
+
+// forward offers a packet of a search to the flow's owner. Resume returns the offer.
+func (b *Balancer) forward(now clock.Millis, s *search, p *heldPacket, owner place.ID) {
 	view := b.Registry.View(now)
 	if view == nil || view.serverByAgent[owner] == nil {
 		return
 	}
-	for i := range s.later {
-		b.ready = append(b.ready, readyPacket{packet: s.later[i].packet, raw: &s.later[i].raw, message: &s.message, since: now,
-			to: holder{owner, view.serverByAgent[owner].Service}, reason: KnownOwner})
-	}
+	b.ready = append(b.ready, readyPacket{packet: p.packet, raw: &p.raw, message: &s.message, since: now,
+		to: holder{owner, view.serverByAgent[owner].Service}, reason: KnownOwner})
 }
 
 // expireSearches ends the searches whose agents have not all answered in time, and those
