Offer a packet to its holder once when servers are tried

A search that tries servers has offered the packet already, so a holder that was queried before need not get it again.

--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -224,8 +224,9 @@
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
 
-// Report fills in what a message tells balancers of the agent and its server. There is no report before
-// the utilization has been measured for long enough, unless the server is judged bad.
+// Report fills in what a message tells balancers of the agent and its server. There is no
+// report before the utilization has been measured for long enough, unless the server is
+// judged bad.
 func (a *Agent) Report(m *Message) {
 	m.Utilization, m.HasReport = a.utilization.percent()
 	if a.avoidsNewFlows() {
--- a/pkg/steer/fuzz_test.go
+++ b/pkg/steer/fuzz_test.go
@@ -18,6 +18,8 @@
 	encoded = make([]byte, m.Size())
 	m.Encode(encoded)
 	f.Add(encoded, uint64(7), byte(1), uint32(2))
+	query := steer.FlowsMessage{Message: steer.Message{Kind: steer.DenyFlows, Reason: steer.NotHeld}, Flows: []steer.QueryFlow{{Key: key(1000), HasACK: true}}}
+	f.Add(query.Encode(), uint64(7), byte(0), uint32(2))
 	f.Fuzz(func(t *testing.T, raw []byte, from uint64, flags byte, ack uint32) {
 		c := newCluster(t, 5, 1)
 		b := c.balancers[0]
@@ -26,9 +28,15 @@
 		}
 		owner := c.open(b, 1000)
 		var m steer.Message
-		if _, err := m.Decode(raw); err != nil {
+		rest, err := m.Decode(raw)
+		if err != nil {
 			return
 		}
+		if flows, err := steer.DecodeFlows(rest); err == nil {
+			query := m
+			b.DeniedFlows(c.now, place.ID(from), &query, flows)
+			owner.agent.AnswerQuery(c.now, &steer.Message{Kind: steer.QueryFlows, Service: m.Service, KnownOnly: m.KnownOnly}, flows)
+		}
 		p := steer.Packet{Key: key(1001), SYN: flags&1 != 0, HasACK: flags&2 != 0, FIN: flags&4 != 0, RST: flags&8 != 0, Returned: flags&16 != 0, Copy: int(flags >> 6), Ack: ack, Bytes: int(ack % 1200)}
 		sender := place.ID(from)
 		message := m
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -240,7 +240,7 @@
 	}
 	b.end(s, Decision{})
 	b.parked = slices.DeleteFunc(b.parked, func(p parkedPacket) bool { return p.search == s })
-	if slices.Contains(s.queried, owner) {
+	if !s.trying && slices.Contains(s.queried, owner) { // it has not been offered the packet
 		b.forward(now, s, &heldPacket{s.packet, s.raw}, owner)
 	}
 	b.forwardLater(now, s, owner)
