--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -173,7 +173,7 @@
 	a.updateServer(now, m)
 	a.updateHealth(now, m)
 	m.Key, m.AgentStartMs = p.Key, 0
-	if m.Service != a.Service && m.Service != ServiceOf("") {
+	if !a.serves(m.Service) {
 		return a.deny(from, m, WrongService)
 	}
 	e := a.flows[p.Key]
@@ -183,6 +183,11 @@
 	return a.laterPacket(now, from, m, p, e)
 }
 
+// serves reports whether messages for a service, or for any, concern the agent's server.
+func (a *Agent) serves(service ServiceID) bool {
+	return service == a.Service || service == ServiceOf("")
+}
+
 // updateServer takes the state of the agent's server from a balancer's message, unless
 // it was read from an older entry than the present one.
 func (a *Agent) updateServer(now clock.Millis, m *Message) {
@@ -339,7 +344,7 @@
 
 // laterPacket decides on a packet of an open flow.
 func (a *Agent) laterPacket(now clock.Millis, from netip.AddrPort, m *Message, p Packet, e *flowEntry) Outcome {
-	if reason := a.laterDenial(now, m, p.Key, p.HasACK, p.Ack); reason != NoReason {
+	if reason := a.laterDenial(now, m, e, p.HasACK, p.Ack); reason != NoReason {
 		if e != nil && e.phase == returned {
 			e.lastSeen = now
 		}
--- a/pkg/steer/query.go
+++ b/pkg/steer/query.go
@@ -159,7 +159,10 @@
 	a.updateHealth(now, m)
 	var answer []FlowsMessage
 	for _, f := range flows {
-		reason := a.laterDenial(now, m, f.Key, f.HasACK, f.Ack)
+		reason := WrongService
+		if a.serves(m.Service) {
+			reason = a.laterDenial(now, m, a.flows[f.Key], f.HasACK, f.Ack)
+		}
 		if reason == NoReason {
 			held := FlowsMessage{Message: Message{Kind: HoldFlow, Key: f.Key, Load: a.Load(), Slots: a.Slots}}
 			a.Report(&held.Message)
@@ -179,12 +182,9 @@
 }
 
 // laterDenial returns why the server does not hold the flow of a packet that opens none,
-// NoReason if it may.
-func (a *Agent) laterDenial(now clock.Millis, m *Message, key flow.Key, hasACK bool, ack uint32) Reason {
-	e := a.flows[key]
+// NoReason if it may. e is the flow's record, nil if there is none.
+func (a *Agent) laterDenial(now clock.Millis, m *Message, e *flowEntry, hasACK bool, ack uint32) Reason {
 	switch {
-	case m.Service != a.Service && m.Service != ServiceOf(""):
-		return WrongService
 	case a.serverGone(now):
 		return ServerGone
 	case e == nil && a.knowsAllFlows(now):
