review: case 4, a new server's flows that are reset by a balancer with an older view

A restarted balancer gives a server of its first listing flows at once. Others, which pause for up to 700 ms after changes, conclude meanwhile that nobody holds them.

--- a/review/stand/flow.go
+++ b/review/stand/flow.go
@@ -171,3 +171,58 @@
 	}
 	return broken, nil
 }
+
+// newServer restarts a balancer as planned work just after a server was listed, while the
+// releases of two services are under way. Flows that the restarted balancer opens at the
+// new server then go through another balancer, since a third one leaves the rotation.
+func newServer(w *world, trouble bool) ([]string, error) {
+	w.configure("desk", "desk", "desk-next")
+	if err := startAll(w, []string{"zone-a", "zone-b", "zone-c"}, map[string]int{"desk": 3, "desk-next": 2}); err != nil {
+		return nil, err
+	}
+	first, second, third := w.balancers[0], w.balancers[1], w.balancers[2]
+	w.routeTo(second)
+	fresh, err := w.addServer("desk", "zone-a")
+	if err != nil {
+		return nil, err
+	}
+	next, err := w.addServer("desk-next", "zone-b")
+	if err != nil {
+		return nil, err
+	}
+	if trouble {
+		w.signal(first.process, syscall.SIGTERM)
+		<-first.process.done
+	}
+	time.Sleep(time.Second) // the balancers wait for changes
+	w.signal(third.process, syscall.SIGTERM)
+	next.publish("ready")
+	time.Sleep(400 * time.Millisecond)
+	w.servers[3].publish("draining") // the server of desk-next that is replaced
+	time.Sleep(80 * time.Millisecond)
+	fresh.publish("ready")
+	if trouble {
+		if err := first.start(); err != nil {
+			return nil, err
+		}
+		if err := first.awaitReady(5 * time.Second); err != nil {
+			return nil, err
+		}
+	}
+	w.routeTo(first) // it joins the rotation
+	var flows []*openFlow
+	for range flowsOpened {
+		if f, err := w.open(); err == nil {
+			flows = append(flows, f)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	w.routeTo(second) // the third one leaves the rotation
+	var broken []string
+	for _, f := range flows {
+		if w.use(f) {
+			broken = append(broken, fmt.Sprintf("FLOW: flow %v got a reset that its server %s did not send", f.flow.Local(), f.server.name))
+		}
+	}
+	return broken, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,6 +13,8 @@
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
 	"moved-route":     movedRoute,
 	"two-evacuations": twoEvacuations,
+	"new-server":      newServer,
+	"foreign-entry":   foreignEntry,
 }
 
 func main() { os.Exit(run()) }
