--- a/review/stand/entry.go
+++ b/review/stand/entry.go
@@ -40,3 +40,36 @@
 	}
 	return broken, nil
 }
+
+// unnamedService has another writer leave an entry in the store that names a server's
+// address and a service that the configuration does not name. Flows are open at the
+// server.
+func unnamedService(w *world, trouble bool) ([]string, error) {
+	w.configure("desk", "desk")
+	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 3}); err != nil {
+		return nil, err
+	}
+	w.routeTo(w.balancers[0])
+	var flows []*openFlow
+	for range 3 * flowsOpened {
+		f, err := w.open()
+		if err != nil {
+			return nil, fmt.Errorf("%w: open a flow: %w", errSetup, err)
+		}
+		flows = append(flows, f)
+	}
+	named := flows[0].server
+	if trouble {
+		w.store.PutJSON("servers/"+named.name+".note", map[string]any{"backend": "desk-retired", "addr": named.server.Address.String(), "zone": named.zone,
+			"version": "v1", "slots": 7, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": named.born})
+		w.logf("another writer: entry with the address of %s and the service desk-retired, under its own key", named.name)
+	}
+	time.Sleep(2 * time.Second)
+	var broken []string
+	for _, f := range flows {
+		if w.use(f) {
+			broken = append(broken, fmt.Sprintf("FLOW: flow %v got a reset that its server %s did not send", f.flow.Local(), f.server.name))
+		}
+	}
+	return broken, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,10 +11,12 @@
 // cases maps the name of a case to its script. A script returns what broke the rule,
 // nothing if it held.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
+	"silent-store":    silentStore,
 	"moved-route":     movedRoute,
 	"two-evacuations": twoEvacuations,
 	"new-server":      newServer,
 	"foreign-entry":   foreignEntry,
+	"unnamed-service": unnamedService,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -145,10 +145,18 @@
 	handler http.Handler
 	mu      sync.Mutex
 	cut     chan struct{} // closed when the cut heals, nil if there is none
+	silent  bool          // requests that arrive get no answer, also later
 }
 
 // ServeHTTP implements http.Handler.
 func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	silent := f.silent
+	f.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	if !f.passes(r.Context()) {
 		return
 	}
@@ -192,6 +200,12 @@
 	}
 }
 
+func (f *storeFront) setSilent(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = on
+}
+
 // route is a route of the configuration.
 type route struct {
 	Name      string `json:"name"`
@@ -211,20 +225,29 @@
 // configure confirms a new version of the configuration: the route's new flows go to a
 // service.
 func (w *world) configure(service string, services ...string) {
+	w.configureRoutes([]netip.AddrPort{w.service()}, service, services...)
+}
+
+// configureRoutes confirms a new version of the configuration with routes for some
+// addresses.
+func (w *world) configureRoutes(addresses []netip.AddrPort, service string, services ...string) {
 	w.version++
 	var backends []map[string]any
 	for _, name := range services {
 		backends = append(backends, map[string]any{"name": name, "health_path": "/health", "max_conns": 2000, "proto": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": 0.0})
 	}
-	address := w.service()
+	var routes []route
+	for i, address := range addresses {
+		routes = append(routes, route{Name: fmt.Sprintf("r-%d", i+1), Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "idempotent",
+			TimeoutMs: 2000, SloMs: 200, Prio: 2, Backend: service, Attempts: 2})
+	}
 	w.store.PutJSON("op/config", map[string]any{
-		"version": w.version,
-		"routes": []route{{Name: "r-1", Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "idempotent",
-			TimeoutMs: 2000, SloMs: 200, Prio: 2, Backend: service, Attempts: 2}},
+		"version":  w.version,
+		"routes":   routes,
 		"backends": backends,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	w.logf("operator: version %d confirmed: new flows of the route go to %s", w.version, service)
+	w.logf("operator: version %d confirmed: new flows of %v go to %s", w.version, addresses, service)
 }
 
 // setEvacuated confirms that a zone is evacuated, or taken back.
@@ -354,16 +377,23 @@
 // addCaller starts the caller host. The router sends its packets to the balancer that
 // routeTo has chosen.
 func (w *world) addCaller() error {
-	w.caller = &fakes.Caller{Address: w.addr(3, 1, w.ports.packets), Service: w.service(), Route: func(netip.AddrPort) netip.AddrPort {
+	var err error
+	w.caller, err = w.newCaller(1, w.service())
+	return err
+}
+
+// newCaller starts a caller host that opens flows to an address.
+func (w *world) newCaller(n int, service netip.AddrPort) (*fakes.Caller, error) {
+	c := &fakes.Caller{Address: w.addr(3, n, w.ports.packets), Service: service, Route: func(netip.AddrPort) netip.AddrPort {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.addr(1, w.balancers[w.routed].index, w.ports.packets)
 	}}
-	if err := w.caller.Start(); err != nil {
-		return fmt.Errorf("%w: %w", errSetup, err)
+	if err := c.Start(); err != nil {
+		return nil, fmt.Errorf("%w: %w", errSetup, err)
 	}
-	w.closers = append(w.closers, w.caller.Stop)
-	return nil
+	w.closers = append(w.closers, c.Stop)
+	return c, nil
 }
 
 // routeTo makes the router send all packets to a balancer.
@@ -382,8 +412,11 @@
 }
 
 // open opens a flow and sends a first request.
-func (w *world) open() (*openFlow, error) {
-	flow, err := w.caller.Open()
+func (w *world) open() (*openFlow, error) { return w.openFrom(w.caller) }
+
+// openFrom does the same from a caller host.
+func (w *world) openFrom(c *fakes.Caller) (*openFlow, error) {
+	flow, err := c.Open()
 	if err != nil {
 		w.logf("flow not opened: %v", err)
 		return nil, err
