--- a/review/stand/flow.go
+++ b/review/stand/flow.go
@@ -211,7 +211,7 @@
 	}
 	w.routeTo(first) // it joins the rotation
 	var flows []*openFlow
-	for range flowsOpened {
+	for range 2 * flowsOpened {
 		if f, err := w.open(); err == nil {
 			flows = append(flows, f)
 		}
