--- a/review/stand/entry.go
+++ b/review/stand/entry.go
@@ -26,7 +26,7 @@
 	for _, b := range w.balancers {
 		w.routeTo(b)
 		time.Sleep(time.Until(confirmed.Add(drainTime + 500*time.Millisecond)))
-		for range flowsOpened {
+		for range 2 * flowsOpened {
 			sent := time.Since(confirmed)
 			f, err := w.open()
 			if err != nil {
--- a/review/stand/flow.go
+++ b/review/stand/flow.go
@@ -57,24 +57,29 @@
 	time.Sleep(500 * time.Millisecond)
 }
 
-// movedRoute moves a route's new flows to another service, restarts one balancer as
-// planned work, and goes on with flows that were opened before.
+// movedRoute changes the weights of a route so that all its new flows go to one of its two
+// services, restarts one balancer as planned work, and goes on with flows that were opened
+// at the other service before.
 func movedRoute(w *world, trouble bool) ([]string, error) {
-	w.configure("desk", "desk", "desk-next")
+	w.configureSplit([]target{{"desk", 90}, {"desk-next", 10}}, "desk", "desk-next")
 	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 2, "desk-next": 2}); err != nil {
 		return nil, err
 	}
 	first, second := w.balancers[0], w.balancers[1]
 	w.routeTo(first)
 	var flows []*openFlow
-	for range flowsOpened {
+	for range 2 * flowsOpened {
 		f, err := w.open()
-		if err != nil || f.server.service != "desk" {
+		if err != nil {
 			return nil, fmt.Errorf("%w: open a flow before the change: %w", errSetup, err)
 		}
-		flows = append(flows, f)
+		if f.server.service == "desk" && len(flows) < flowsOpened {
+			flows = append(flows, f)
+		} else {
+			f.flow.Close()
+		}
 	}
-	w.configure("desk-next", "desk", "desk-next")
+	w.configureSplit([]target{{"desk-next", 100}}, "desk", "desk-next")
 	time.Sleep(applyTime + time.Second)
 	f, err := w.open()
 	if err != nil || f.server.service != "desk-next" {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -208,15 +208,22 @@
 
 // route is a route of the configuration.
 type route struct {
-	Name      string `json:"name"`
-	Host      string `json:"host"`
-	Prefix    string `json:"prefix"`
-	Type      string `json:"type"`
-	TimeoutMs int    `json:"timeout_ms"`
-	SloMs     int    `json:"slo_ms"`
-	Prio      int    `json:"prio"`
-	Backend   string `json:"backend"`
-	Attempts  int    `json:"attempts"`
+	Name      string   `json:"name"`
+	Host      string   `json:"host"`
+	Prefix    string   `json:"prefix"`
+	Type      string   `json:"type"`
+	TimeoutMs int      `json:"timeout_ms"`
+	SloMs     int      `json:"slo_ms"`
+	Prio      int      `json:"prio"`
+	Backend   string   `json:"backend,omitempty"`
+	Split     []target `json:"split,omitempty"`
+	Attempts  int      `json:"attempts"`
+}
+
+// target is a service that gets a share of a route's new flows.
+type target struct {
+	Backend string `json:"backend"`
+	Weight  int    `json:"weight"`
 }
 
 // service returns the address that callers connect to.
@@ -228,26 +235,47 @@
 	w.configureRoutes([]netip.AddrPort{w.service()}, service, services...)
 }
 
+// configureSplit confirms a new version of the configuration: the services get shares of
+// the route's new flows.
+func (w *world) configureSplit(split []target, services ...string) {
+	r := w.newRoute(1, w.service())
+	r.Split = split
+	w.confirm([]route{r}, services)
+	w.logf("operator: version %d confirmed: shares of new flows of %v: %v", w.version, w.service(), split)
+}
+
+// newRoute returns the nth route, for an address.
+func (w *world) newRoute(n int, address netip.AddrPort) route {
+	return route{Name: fmt.Sprintf("r-%d", n), Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "non_idempotent",
+		TimeoutMs: 2500, SloMs: 250, Prio: 1, Attempts: 2}
+}
+
 // configureRoutes confirms a new version of the configuration with routes for some
 // addresses.
 func (w *world) configureRoutes(addresses []netip.AddrPort, service string, services ...string) {
+	var routes []route
+	for i, address := range addresses {
+		r := w.newRoute(i+1, address)
+		r.Backend = service
+		routes = append(routes, r)
+	}
+	w.confirm(routes, services)
+	w.logf("operator: version %d confirmed: new flows of %v go to %s", w.version, addresses, service)
+}
+
+// confirm writes a new version of the configuration to the store.
+func (w *world) confirm(routes []route, services []string) {
 	w.version++
 	var backends []map[string]any
 	for _, name := range services {
 		backends = append(backends, map[string]any{"name": name, "health_path": "/health", "max_conns": 2000, "proto": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": 0.0})
 	}
-	var routes []route
-	for i, address := range addresses {
-		routes = append(routes, route{Name: fmt.Sprintf("r-%d", i+1), Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "non_idempotent",
-			TimeoutMs: 2500, SloMs: 250, Prio: 1, Backend: service, Attempts: 2})
-	}
 	w.store.PutJSON("op/config", map[string]any{
 		"version":  w.version,
 		"routes":   routes,
 		"backends": backends,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	w.logf("operator: version %d confirmed: new flows of %v go to %s", w.version, addresses, service)
 }
 
 // setEvacuated confirms that a zone is evacuated, or taken back.
