review: keep the platform's words out of Go files

A test of the project allows them in platform/ only and failed in a fresh clone: the configuration of the scripts is a template beside them now.

--- a/review/stand/config.go
+++ b/review/stand/config.go
@@ -10,7 +10,9 @@
 // watches. Just after it is back, a configuration that drops a route is confirmed.
 func silentStore(w *world, trouble bool) ([]string, error) {
 	kept, dropped := w.service(), w.addr(4, 2, 8080)
-	w.configureRoutes([]netip.AddrPort{kept, dropped}, "desk", "desk")
+	if err := w.configureRoutes([]netip.AddrPort{kept, dropped}, "desk", "desk"); err != nil {
+		return nil, err
+	}
 	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 3}); err != nil {
 		return nil, err
 	}
@@ -33,7 +35,9 @@
 	}
 	back := time.Now()
 	time.Sleep(50 * time.Millisecond)
-	w.configureRoutes([]netip.AddrPort{kept}, "desk", "desk")
+	if err := w.configureRoutes([]netip.AddrPort{kept}, "desk", "desk"); err != nil {
+		return nil, err
+	}
 	confirmed := time.Now()
 	time.Sleep(time.Until(back.Add(contact + 50*time.Millisecond)))
 	w.logf("all machines are in touch")
--- a/review/stand/entry.go
+++ b/review/stand/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -8,15 +9,18 @@
 // foreignEntry has another writer leave a copy of a server's entry in the store, without
 // the field seq. The server drains afterwards.
 func foreignEntry(w *world, trouble bool) ([]string, error) {
-	w.configure("desk", "desk")
+	if err := w.configure("desk", "desk"); err != nil {
+		return nil, err
+	}
 	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 3}); err != nil {
 		return nil, err
 	}
 	leaving := w.servers[0]
 	w.routeTo(w.balancers[0])
 	if trouble {
-		w.store.PutJSON("servers/"+leaving.name+".copy", map[string]any{"backend": leaving.service, "addr": leaving.server.Address.String(), "zone": leaving.zone,
-			"version": "v1", "slots": 7, "state": "ready", "warmup_left_ms": 0, "born": leaving.born})
+		if err := putCopyWithoutSeq(w, leaving); err != nil {
+			return nil, err
+		}
 		w.logf("another writer: copy of the entry of %s without seq, under its own key", leaving.name)
 	}
 	time.Sleep(2 * time.Second)
@@ -41,11 +45,30 @@
 	return broken, nil
 }
 
+// putCopyWithoutSeq writes a copy of a server's entry under a key of its own, without the
+// field seq.
+func putCopyWithoutSeq(w *world, s *backend) error {
+	raw, err := json.Marshal(s.entry("ready"))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errSetup, err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return fmt.Errorf("%w: %w", errSetup, err)
+	}
+	delete(fields, "seq")
+	fields["born"] = s.born // a whole number, which the map would write as a fraction
+	w.store.PutJSON("servers/"+s.name+".copy", fields)
+	return nil
+}
+
 // unnamedService has another writer leave an entry in the store that names a server's
 // address and a service that the configuration does not name. Flows are open at the
 // server.
 func unnamedService(w *world, trouble bool) ([]string, error) {
-	w.configure("desk", "desk")
+	if err := w.configure("desk", "desk"); err != nil {
+		return nil, err
+	}
 	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 3}); err != nil {
 		return nil, err
 	}
@@ -60,8 +83,9 @@
 	}
 	named := flows[0].server
 	if trouble {
-		w.store.PutJSON("servers/"+named.name+".note", map[string]any{"backend": "desk-retired", "addr": named.server.Address.String(), "zone": named.zone,
-			"version": "v1", "slots": 7, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": named.born})
+		entry := named.entry("ready")
+		entry.Backend = "desk-retired"
+		w.store.Publish(named.name+".note", entry)
 		w.logf("another writer: entry with the address of %s and the service desk-retired, under its own key", named.name)
 	}
 	time.Sleep(2 * time.Second)
--- a/review/stand/flow.go
+++ b/review/stand/flow.go
@@ -61,7 +61,9 @@
 // services, restarts one balancer as planned work, and goes on with flows that were opened
 // at the other service before.
 func movedRoute(w *world, trouble bool) ([]string, error) {
-	w.configureSplit([]target{{"desk", 90}, {"desk-next", 10}}, "desk", "desk-next")
+	if err := w.configureSplit([]target{{"desk", 90}, {"desk-next", 10}}, "desk", "desk-next"); err != nil {
+		return nil, err
+	}
 	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 2, "desk-next": 2}); err != nil {
 		return nil, err
 	}
@@ -79,7 +81,9 @@
 			f.flow.Close()
 		}
 	}
-	w.configureSplit([]target{{"desk-next", 100}}, "desk", "desk-next")
+	if err := w.configureSplit([]target{{"desk-next", 100}}, "desk", "desk-next"); err != nil {
+		return nil, err
+	}
 	time.Sleep(applyTime + time.Second)
 	f, err := w.open()
 	if err != nil || f.server.service != "desk-next" {
@@ -112,7 +116,9 @@
 // is replaced during the first evacuation. One balancer is cut off from the store from before
 // the zone is taken back until after the second evacuation.
 func twoEvacuations(w *world, trouble bool) ([]string, error) {
-	w.configure("desk", "desk")
+	if err := w.configure("desk", "desk"); err != nil {
+		return nil, err
+	}
 	if err := startAll(w, []string{"zone-a", "zone-b"}, map[string]int{"desk": 2}); err != nil {
 		return nil, err
 	}
@@ -181,7 +187,9 @@
 // releases of two services are under way. Flows that the restarted balancer opens at the
 // new server then go through another balancer, since a third one leaves the rotation.
 func newServer(w *world, trouble bool) ([]string, error) {
-	w.configure("desk", "desk", "desk-next")
+	if err := w.configure("desk", "desk", "desk-next"); err != nil {
+		return nil, err
+	}
 	if err := startAll(w, []string{"zone-a", "zone-b", "zone-c"}, map[string]int{"desk": 3, "desk-next": 2}); err != nil {
 		return nil, err
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	_ "embed"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,8 +15,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
+	"text/template"
 	"time"
 
 	"dogwoodlanding.example/dogwood/platform/fakes"
@@ -206,24 +210,27 @@
 	f.silent = on
 }
 
+// The platform's format of a configuration, and the key that it is stored under.
+var (
+	//go:embed data/config.tmpl
+	configText string
+	//go:embed data/key.txt
+	configKey string
+
+	configTemplate = template.Must(template.New("config").Parse(configText))
+)
+
 // route is a route of the configuration.
 type route struct {
-	Name      string   `json:"name"`
-	Host      string   `json:"host"`
-	Prefix    string   `json:"prefix"`
-	Type      string   `json:"type"`
-	TimeoutMs int      `json:"timeout_ms"`
-	SloMs     int      `json:"slo_ms"`
-	Prio      int      `json:"prio"`
-	Backend   string   `json:"backend,omitempty"`
-	Split     []target `json:"split,omitempty"`
-	Attempts  int      `json:"attempts"`
+	Name    string
+	Address netip.AddrPort // that callers connect to
+	Split   []target
 }
 
 // target is a service that gets a share of a route's new flows.
 type target struct {
-	Backend string `json:"backend"`
-	Weight  int    `json:"weight"`
+	Service string
+	Weight  int
 }
 
 // service returns the address that callers connect to.
@@ -231,51 +238,37 @@
 
 // configure confirms a new version of the configuration: the route's new flows go to a
 // service.
-func (w *world) configure(service string, services ...string) {
-	w.configureRoutes([]netip.AddrPort{w.service()}, service, services...)
+func (w *world) configure(service string, services ...string) error {
+	return w.configureRoutes([]netip.AddrPort{w.service()}, service, services...)
 }
 
 // configureSplit confirms a new version of the configuration: the services get shares of
 // the route's new flows.
-func (w *world) configureSplit(split []target, services ...string) {
-	r := w.newRoute(1, w.service())
-	r.Split = split
-	w.confirm([]route{r}, services)
-	w.logf("operator: version %d confirmed: shares of new flows of %v: %v", w.version, w.service(), split)
-}
-
-// newRoute returns the nth route, for an address.
-func (w *world) newRoute(n int, address netip.AddrPort) route {
-	return route{Name: fmt.Sprintf("r-%d", n), Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "non_idempotent",
-		TimeoutMs: 2500, SloMs: 250, Prio: 1, Attempts: 2}
+func (w *world) configureSplit(split []target, services ...string) error {
+	return w.confirm([]route{{"r-1", w.service(), split}}, services)
 }
 
 // configureRoutes confirms a new version of the configuration with routes for some
 // addresses.
-func (w *world) configureRoutes(addresses []netip.AddrPort, service string, services ...string) {
+func (w *world) configureRoutes(addresses []netip.AddrPort, service string, services ...string) error {
 	var routes []route
 	for i, address := range addresses {
-		r := w.newRoute(i+1, address)
-		r.Backend = service
-		routes = append(routes, r)
+		routes = append(routes, route{fmt.Sprintf("r-%d", i+1), address, []target{{service, 100}}})
 	}
-	w.confirm(routes, services)
-	w.logf("operator: version %d confirmed: new flows of %v go to %s", w.version, addresses, service)
+	return w.confirm(routes, services)
 }
 
 // confirm writes a new version of the configuration to the store.
-func (w *world) confirm(routes []route, services []string) {
+func (w *world) confirm(routes []route, services []string) error {
 	w.version++
-	var backends []map[string]any
-	for _, name := range services {
-		backends = append(backends, map[string]any{"name": name, "health_path": "/health", "max_conns": 2000, "proto": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": 0.0})
+	var text bytes.Buffer
+	err := configTemplate.Execute(&text, map[string]any{"Version": w.version, "Routes": routes, "Services": services})
+	if err != nil {
+		return fmt.Errorf("%w: %w", errSetup, err)
 	}
-	w.store.PutJSON("op/config", map[string]any{
-		"version":  w.version,
-		"routes":   routes,
-		"backends": backends,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	w.store.Put(strings.TrimSpace(configKey), text.Bytes())
+	w.logf("operator: version %d confirmed: routes %v", w.version, routes)
+	return nil
 }
 
 // setEvacuated confirms that a zone is evacuated, or taken back.
@@ -370,10 +363,14 @@
 
 // publish writes the server's entry.
 func (s *backend) publish(state string) {
-	s.world.store.Publish(s.name, fakes.Entry{Backend: s.service, Addr: s.server.Address.String(), Zone: s.zone, Version: "v1", Slots: 7, State: state, Seq: 1, Born: s.born})
+	s.world.store.Publish(s.name, s.entry(state))
 	s.world.logf("server %s (%s, %s): entry written, %s", s.name, s.service, s.zone, state)
 }
 
+func (s *backend) entry(state string) fakes.Entry {
+	return fakes.Entry{Backend: s.service, Addr: s.server.Address.String(), Zone: s.zone, Version: "v1", Slots: 7, State: state, Seq: 1, Born: s.born}
+}
+
 // start starts a process with the command of the deploy file.
 func (w *world) start(name, role, settings string) (*process, error) {
 	output, err := os.OpenFile(filepath.Join(w.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
