Give up a watch early enough to be current after an outage

What callers saw: after the store had been silent for 0.2 s, balancers opened flows on a route that had been dropped just after it, until 4.9 s later.

Cause: a watch waited for 4 s and ended as silent 1 s later. A store that was silent when the watch arrived knows nothing of it, and nothing is sent meanwhile that would show that. So a balancer could be out of date for 5 s after an outage of any length.

It leaves time for the end as silent (1 s), the pause and the spread before the reading of the state, the reading as the last one took it, and 0.5 s for a slow store: 2.3 s with 4,000 ms, 4 s at most.

Why it works: the first watch that the store does not answer ends at most RegainMs less the time of a reading after it began, whatever the length of the outage; later calls of the outage do not wait. A cheap read beside each watch would cost less, but does not notice that only the watch's response was lost.

Tests that failed before: TestUnansweredWatchEndsInTime (not in force 4 s after the silence), TestHostIsCurrentSoonAfterSilence (current 5,035 ms after it).

Related paths: evacuations and drains come with the same watch. Agents do not read the store.

--- a/internal/path/catchup.go
+++ b/internal/path/catchup.go
@@ -18,6 +18,10 @@
 // platform gives 5 s.
 const defaultBound = 5 * clock.Second
 
+// defaultRegain is the time after an outage within which the view must be current if the
+// settings have none.
+const defaultRegain = 4 * clock.Second
+
 // Why a watch was ended by this process.
 var (
 	errInterrupted = errors.New("a decision needs a newer answer of the store")
@@ -46,9 +50,11 @@
 			resync.Servers:       clock.Millis(s.DrainMs).Or(defaultBound),
 			resync.Configuration: clock.Millis(s.ConfigMs).Or(defaultBound),
 		},
-		MaxRest: clock.Millis((maxWatchWait + b.longestPause()).Milliseconds()),
-		Random:  func(n clock.Millis) clock.Millis { return rand.N(n) },
+		Regain:       clock.Millis(s.RegainMs).Or(defaultRegain),
+		SilenceLimit: clock.Millis(platform.StallTimeout.Milliseconds()),
+		Random:       func(n clock.Millis) clock.Millis { return rand.N(n) },
 	}
+	b.resync.MaxRest = b.resync.MaxWait() + clock.Millis(b.longestPause().Milliseconds())
 	b.overdue = make(map[resync.Keys]bool)
 	for _, keys := range resync.AllKeys {
 		set.NewGauge(fmt.Sprintf("dogwood_store_keys_age_seconds{keys=%q}", keys), func() float64 {
--- a/internal/path/catchup_test.go
+++ b/internal/path/catchup_test.go
@@ -117,6 +117,31 @@
 	}
 }
 
+// A balancer whose watch began in a short silence of the store acted on the old
+// configuration until 5 s after the silence; the default of RegainMs allows 4 s.
+func TestUnansweredWatchEndsInTime(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	var silenceNext atomic.Bool
+	f.store.OnCall = func(r *http.Request) {
+		if r.URL.Path == "/-/kv-watch" && silenceNext.CompareAndSwap(true, false) {
+			f.store.SetTrouble(fakes.Unresponsive)
+		}
+	}
+	f.startBalancer(0)
+	silenceNext.Store(true)
+	f.publish(0, "draining") // the balancer renews its watch
+	f.eventually(func() bool { return !silenceNext.Load() }, "a watch begins in the silence")
+	time.Sleep(50 * time.Millisecond)
+	f.store.SetTrouble(fakes.Healthy)
+	answering := time.Now()
+	f.configure(2)
+	for !f.logs.contains(inForce + "2") {
+		assert.Assert(t, time.Since(answering) < 4*time.Second, "the configuration is not in force 4 s after the silence")
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("in force %v after the silence", time.Since(answering))
+}
+
 // Every call has a price: on a healthy store a balancer must make no more calls than one
 // listing and one watch at a time.
 func TestHealthyStoreGetsOneListingThenWatches(t *testing.T) {
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -17,9 +17,6 @@
 
 // Times of the watch on the store.
 const (
-	// maxWatchWait is how long one watch waits for changes. It bounds the age of the
-	// view when the connection is dead.
-	maxWatchWait = 4 * time.Second
 	// minBatchPause is the pause after changes, so that changes close to each other
 	// cost one call. It grows while changes go on, since the calls of all balancers grow
 	// with the number of changes: up to the pause that the settings leave room for,
@@ -75,7 +72,7 @@
 		case resync.State:
 			revision, err = b.readState(ctx, store, call.Reason, revision)
 		default:
-			revision, err = b.watchOnce(ctx, store, revision)
+			revision, err = b.watchOnce(ctx, store, revision, call.Wait)
 		}
 		if errors.Is(err, errInterrupted) || ctx.Err() != nil {
 			continue
@@ -128,11 +125,11 @@
 	b.storeEra, b.hasEra = era, true
 }
 
-// watchOnce waits once for changes after a revision and returns the revision to
-// continue from. It returns early with errInterrupted if a decision needs a newer view,
-// and with errSuspended after a suspension, so that the state is read again.
-func (b *Balancer) watchOnce(ctx context.Context, store *platform.Store, revision uint64) (uint64, error) {
-	wait := b.nextWatchWait()
+// watchOnce waits once for changes after a revision, for maxWait at most, and returns the
+// revision to continue from. It returns early with errInterrupted if a decision needs a
+// newer view, and with errSuspended after a suspension, so that the state is read again.
+func (b *Balancer) watchOnce(ctx context.Context, store *platform.Store, revision uint64, maxWait clock.Millis) (uint64, error) {
+	wait := b.nextWatchWait(maxWait).Duration()
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	interrupted := make(chan interruption, 1)
@@ -225,9 +222,9 @@
 }
 
 // nextWatchWait returns how long the next watch waits: not at all if a refresh was
-// requested, and no longer than until the registry must know whether the entry of a
-// removed server has returned.
-func (b *Balancer) nextWatchWait() time.Duration {
+// requested, and no longer than maxWait or until the registry must know whether the entry
+// of a removed server has returned.
+func (b *Balancer) nextWatchWait(maxWait clock.Millis) clock.Millis {
 	select {
 	case <-b.refreshRequests:
 		return 0
@@ -236,9 +233,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if wait, pending := b.core.Registry.AwaitingReturn(b.Clock.Now()); pending {
-		return min(maxWatchWait, wait.Duration())
+		return min(maxWait, wait)
 	}
-	return maxWatchWait
+	return maxWait
 }
 
 // nextBatchPause returns the pause after changes, from the last pause and the time that
--- a/internal/setup/path.go
+++ b/internal/setup/path.go
@@ -29,9 +29,12 @@
 	EvacuateMs int
 	// DrainMs and ConfigMs are the times within which the balancer must act on a server
 	// that drains or is gone, and on another configuration; 0 means as soon as possible.
-	// They are left out if not set, for processes of earlier versions, which know neither.
+	// RegainMs is the time after an outage of the store within which the balancer must act
+	// on what changed; 0 means 4,000. They are left out if not set, for processes of earlier
+	// versions, which do not know them.
 	DrainMs    int `json:",omitempty"`
 	ConfigMs   int `json:",omitempty"`
+	RegainMs   int `json:",omitempty"`
 	CacheFlows int // capacity of the cache of flow owners, in flows; 0 means the default
 	// Balance is BalanceByRoom, or empty for an order of servers by the flow's hash alone.
 	Balance string `json:",omitempty"`
@@ -82,6 +85,7 @@
 		c.checkNotNegative("EvacuateMs", s.EvacuateMs)
 		c.checkNotNegative("DrainMs", s.DrainMs)
 		c.checkNotNegative("ConfigMs", s.ConfigMs)
+		c.checkNotNegative("RegainMs", s.RegainMs)
 		c.checkNotNegative("CacheFlows", s.CacheFlows)
 		if s.Balance != "" && s.Balance != BalanceByRoom {
 			c.addError("Balance", "%q is not known, want %s or none", s.Balance, BalanceByRoom)
--- a/internal/setup/path_test.go
+++ b/internal/setup/path_test.go
@@ -42,8 +42,8 @@
 }
 
 func TestPathErrorsAreReportedTogether(t *testing.T) {
-	_, err := setup.ReadPathBalancer(writeSettings(t, `{"Path": {"Host": "x", "FlowLifeS": -1, "Disabled": ["Magic"]}, "EvacuateMs": -1, "DrainMs": -1, "ConfigMs": -1, "Balance": "Even"}`))
-	for _, position := range []string{"Path.Name", "Path.Host", "Path.Packets", "Store", "Agents", "EvacuateMs", "DrainMs", "ConfigMs", "Path.FlowLifeS", "Path.Disabled", "Balance"} {
+	_, err := setup.ReadPathBalancer(writeSettings(t, `{"Path": {"Host": "x", "FlowLifeS": -1, "Disabled": ["Magic"]}, "EvacuateMs": -1, "DrainMs": -1, "ConfigMs": -1, "RegainMs": -1, "Balance": "Even"}`))
+	for _, position := range []string{"Path.Name", "Path.Host", "Path.Packets", "Store", "Agents", "EvacuateMs", "DrainMs", "ConfigMs", "RegainMs", "Path.FlowLifeS", "Path.Disabled", "Balance"} {
 		assert.ErrorContains(t, err, position)
 	}
 	_, err = setup.ReadPathBalancer("/nowhere")
@@ -66,7 +66,7 @@
 	for _, unset := range []any{setup.PathBalancer{}, setup.PathAgent{}} {
 		raw, err := json.Marshal(unset)
 		assert.NilError(t, err)
-		for _, field := range []string{"DrainMs", "ConfigMs", "Disabled", "Queue", "Balance", "Health"} {
+		for _, field := range []string{"DrainMs", "ConfigMs", "RegainMs", "Disabled", "Queue", "Balance", "Health"} {
 			assert.Assert(t, !strings.Contains(string(raw), field), "%s", raw)
 		}
 	}
--- a/pkg/resync/resync.go
+++ b/pkg/resync/resync.go
@@ -90,6 +90,8 @@
 	Kind   Kind
 	Reason Reason       // of a call of kind State
 	Pause  clock.Millis // before the call
+	// Wait is how long a watch may wait for changes.
+	Wait clock.Millis
 	// Limit bounds the time of one response, beyond the requested wait.
 	Limit clock.Millis
 	// MaxBytes bounds the response to a watch, in addition to the size of the state. 0
@@ -128,12 +130,23 @@
 	// heavyWatchBytes bounds the first watch after an outage if the state is heavy: 5,400
 	// hosts fetch it in 2.8 s.
 	heavyWatchBytes = 64 << 10
+	// minWait and maxWait bound the wait of a watch.
+	minWait = clock.Second
+	maxWait = 4 * clock.Second
+	// regainMargin is the part of Policy.Regain that is left for a slow store: it can be a
+	// hundred times slower than its usual 4 ms.
+	regainMargin = 500 * clock.Millis(1)
 )
 
 // Policy decides on the calls of one host. Set the exported fields before the first
 // call. A Policy is not safe for concurrent use.
 type Policy struct {
 	Bounds Bounds
+	// Regain is the time after an outage of the store within which the view must be current.
+	Regain clock.Millis
+	// SilenceLimit is how long after its requested wait a watch without a response ends as
+	// Silent.
+	SilenceLimit clock.Millis
 	// MaxRest is the longest time between two responses of a healthy store: the wait of a
 	// watch and the pause between two watches.
 	MaxRest clock.Millis
@@ -158,6 +171,7 @@
 // Next returns the call to make now.
 func (p *Policy) Next(now clock.Millis) Call {
 	c := Call{Kind: Watch, Limit: max(minLimit, p.Bounds.shortest()) << min(p.slow, maxLimitDoublings)}
+	c.Wait = p.MaxWait()
 	c.Pause = p.pause(c)
 	longOutage := p.lost && now+c.Pause-p.lostSince > p.Bounds.shortest()/2
 	switch {
@@ -176,6 +190,22 @@
 	return c
 }
 
+// MaxWait returns how long a watch may wait for changes. A store that was silent when a
+// watch arrived never responds to it, and the host notices that SilenceLimit after the wait.
+// The reading of the state that follows must be complete within Regain.
+func (p *Policy) MaxWait() clock.Millis {
+	pause := minRetryWindow/2 + max(minRetryWindow, p.readingSpread())
+	reading := pause + p.stateDuration + regainMargin
+	return min(maxWait, max(minWait, p.Regain-p.SilenceLimit-reading))
+}
+
+// readingSpread is the time over which hosts spread readings that they begin at the same
+// time: what the store needs to send the state to fleetHosts hosts, within a quarter of the
+// shortest bound.
+func (p *Policy) readingSpread() clock.Millis {
+	return min(p.Bounds.shortest()/4, p.fleetTime())
+}
+
 // heavy reports whether the state is too large for all hosts to read it at once: 300
 // hosts need more than half of the shortest bound, or this host did the last time.
 func (p *Policy) heavy() bool {
@@ -189,12 +219,11 @@
 }
 
 // pause returns the pause before a call. Readings of the state that many hosts begin at
-// the same time are spread over the time in which the store can send them to 300 hosts,
-// within a quarter of the shortest bound.
+// the same time are spread.
 func (p *Policy) pause(c Call) clock.Millis {
 	var spread clock.Millis
 	if c.Reason == Outage || c.Kind == State && p.spread {
-		spread = min(p.Bounds.shortest()/4, p.fleetTime())
+		spread = p.readingSpread()
 	}
 	failures := p.failures
 	if failures == 0 {
--- a/pkg/resync/resync_test.go
+++ b/pkg/resync/resync_test.go
@@ -211,3 +211,37 @@
 	p.Record(1000, resync.Outcome{Kind: resync.Watch, Result: resync.FoundTooLarge})
 	assert.Equal(t, p.Next(1000).Pause, clock.Millis(0), "the watch has used up time already")
 }
+
+// A store that is silent for a moment never responds to the calls that arrive then. A host
+// whose watch began in the silence stayed out of date for longer than Regain.
+func TestHostIsCurrentSoonAfterSilence(t *testing.T) {
+	const silenceLimit, callTime = 1000, 20
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		p := newPolicy(seed, random.Int64N(2_000_000))
+		p.Bounds = resync.Bounds{5000, 3000, 3000}
+		p.Regain, p.SilenceLimit = 4000+1000*clock.Millis(seed%3), silenceLimit
+		silentFrom := 10_000 + clock.Millis(random.Int64N(5000))
+		silentUntil := silentFrom + 1 + clock.Millis(random.Int64N(3000))
+		wait := true // as long as the store responds, a watch waits for changes
+		for now := clock.Millis(0); now < silentUntil+p.Regain+10_000; {
+			c := p.Next(now)
+			began := now + c.Pause
+			now = began + callTime
+			if wait && c.Kind == resync.Watch {
+				now += c.Wait
+			}
+			if began >= silentUntil {
+				assert.Assert(t, began+callTime-silentUntil <= p.Regain, "seed %d: current %v after the silence", seed, began+callTime-silentUntil)
+				break
+			}
+			o := resync.Outcome{Kind: c.Kind, Bytes: 1000}
+			if began >= silentFrom {
+				now += silenceLimit - callTime
+				o.Result, o.Bytes, wait = resync.Silent, 0, false
+			}
+			o.Took = now - began
+			p.Record(now, o)
+		}
+	}
+}
