Don't reset flows at servers that only a restarted balancer lists

Their requests may not be repeated.

Cause: a balancer concludes from a view of up to 1.2 s of age that no server holds a flow, since a new server gets no flows before it has been listed for 1.2 s. A process that has just started cannot know how long its servers have been listed, and opened flows at all of them at once.

The resetting balancer's view was 432 to 443 ms old and lacked the server; each agent that it knew denied the flow (NotKnown), then Refuse:EveryoneDenied.

Change: a ping tells the agent the revision of the store that the balancer's view shows, and a denial passes the newest one on. A balancer that is told of a newer revision than its own asks the store before it concludes. If no agent has answered, the store must have answered a request that was sent after the packet came.

Why it works: a balancer pings all agents of its first listing before it opens a flow, and a conclusion needs the denials of the agents. So one of them tells of the listing that has the new server.

Tests that failed before: TestFlowAtServerOfFirstListingIsNotReset, TestFlowAtFirstServerOfServiceIsNotReset, TestToldRevisionNeedsOneAnswerOnly (a reset in each).

Cost: no message more.

--- a/internal/path/agent.go
+++ b/internal/path/agent.go
@@ -241,7 +241,7 @@
 		}
 		a.recordBalancer(from)
 		if m.Kind == steer.Ping {
-			a.sendPong(from)
+			a.sendMessage(from, a.core.AnswerPing(&m))
 			return
 		}
 		if m.Kind == steer.QueryFlows {
@@ -380,13 +380,6 @@
 	a.sendMessage(to, m)
 }
 
-// sendPong replies to a Ping.
-func (a *Agent) sendPong(to netip.AddrPort) {
-	m := steer.Message{Kind: steer.Pong, Load: a.core.Load(), Slots: a.core.Slots}
-	a.core.Report(&m)
-	a.sendMessage(to, m)
-}
-
 // sendMessage sends a message without a packet to a balancer.
 func (a *Agent) sendMessage(to netip.AddrPort, m steer.Message) {
 	a.limitedLog.sendOrLog(a.Clock.Now(), a.packets, encodeMessage(m), to)
--- a/internal/path/balancer.go
+++ b/internal/path/balancer.go
@@ -391,7 +391,7 @@
 
 // sendPing probes an agent.
 func (b *Balancer) sendPing(agent place.ID) {
-	b.limitedLog.sendOrLog(b.Clock.Now(), b.agents, encodeMessage(steer.Message{Kind: steer.Ping}), netip.AddrPortFrom(steer.AddrOf(agent), b.packetPort))
+	b.limitedLog.sendOrLog(b.Clock.Now(), b.agents, encodeMessage(b.core.Ping()), netip.AddrPortFrom(steer.AddrOf(agent), b.packetPort))
 }
 
 // checkSuspension detects that the process did not run. After a pause, SYNs are not
--- a/internal/path/catchup.go
+++ b/internal/path/catchup.go
@@ -176,6 +176,7 @@
 func (b *Balancer) applyListing(store *platform.Store, requestedAt clock.Millis, changes []steer.Change, revision uint64) {
 	now := b.recordAnswer(requestedAt, revision)
 	b.recordEra(now, store.Era())
+	b.core.Registry.RecordRevision(steer.RevisionOf(b.storeEra, revision))
 	b.logEvents(now, b.core.Registry.ApplyListing(now, changes), revision)
 	b.rememberConfig(changes)
 	b.resync.Cover(resync.Evacuations, requestedAt)
--- a/internal/path/watch.go
+++ b/internal/path/watch.go
@@ -159,6 +159,7 @@
 	}
 	b.mu.Lock()
 	now := b.recordAnswer(requestedAt, next)
+	b.core.Registry.RecordRevision(steer.RevisionOf(b.storeEra, next))
 	b.recordWatched(store, changes)
 	b.logEvents(now, b.core.Registry.Apply(now, changes), next)
 	b.resumeParked(now)
--- a/pkg/steer/agent.go
+++ b/pkg/steer/agent.go
@@ -75,6 +75,8 @@
 	Unanswered func()
 
 	startedAt clock.Millis // time of the first call
+	// storeRevision is the newest revision of the platform's store that a Ping has told.
+	storeRevision uint64
 	// missedFlow is set once the server has sent a packet of a flow without a record.
 	missedFlow bool
 	flows      map[flow.Key]*flowEntry
@@ -225,10 +227,19 @@
 func (a *Agent) deny(to netip.AddrPort, m *Message, reason Reason) Outcome {
 	a.counts.Denied++
 	m.Kind, m.Reason, m.Load, m.Slots = DenyPacket, reason, a.reportedLoad(reason), a.Slots
+	m.StoreRevision = a.storeRevision
 	a.Report(m)
 	return Outcome{Verdict: Deny, Reason: reason, To: to}
 }
 
+// AnswerPing returns the reply to a Ping.
+func (a *Agent) AnswerPing(m *Message) Message {
+	a.storeRevision = max(a.storeRevision, m.StoreRevision)
+	pong := Message{Kind: Pong, Load: a.Load(), Slots: a.Slots}
+	a.Report(&pong)
+	return pong
+}
+
 // Report fills in what a message tells balancers of the agent and its server. There is no
 // report before the utilization has been measured for long enough, unless the server is
 // judged bad.
--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -69,6 +69,11 @@
 	// failed to within startTime.
 	startedAgents int
 
+	// toldRevision is the newest revision of the platform's store that an agent has told, and
+	// behindSince when one told a newer revision than that of the view, 0 if none did.
+	toldRevision uint64
+	behindSince  clock.Millis
+
 	backlogUntil clock.Millis // until then, SYNs may have been received before a pause
 }
 
@@ -142,6 +147,7 @@
 	b.init()
 	b.recordReport(now, from, m)
 	b.recordAnswer(from, m)
+	b.recordStoreRevision(now, m)
 	view := b.Registry.View(now)
 	if view == nil {
 		return Decision{Verdict: Drop, Reason: NoView}
@@ -171,6 +177,7 @@
 	if s == nil {
 		b.recordReport(now, from, m)
 		b.recordAnswer(from, m)
+		b.recordStoreRevision(now, m)
 		return // the holder has been found meanwhile
 	}
 	d := b.Denied(now, from, s.packet, m)
@@ -182,6 +189,24 @@
 	}
 }
 
+// Ping returns the message that probes an agent. It tells the agent of the view, so that the
+// agent's denials tell other balancers that servers may have been listed which they lack.
+func (b *Balancer) Ping() Message {
+	return Message{Kind: Ping, StoreRevision: b.Registry.revision}
+}
+
+// recordStoreRevision records the newest revision of the platform's store that an agent has
+// been told by any balancer.
+func (b *Balancer) recordStoreRevision(now clock.Millis, m *Message) {
+	if m.StoreRevision <= b.toldRevision {
+		return
+	}
+	b.toldRevision = m.StoreRevision
+	if m.StoreRevision > b.Registry.revision {
+		b.behindSince = now
+	}
+}
+
 // recordLeastBusy records an agent that denied a SYN as Busy, and its load in percent of
 // its slots, if it is the least busy one so far.
 func (b *Balancer) recordLeastBusy(from place.ID, m *Message) {
--- a/pkg/steer/compat_test.go
+++ b/pkg/steer/compat_test.go
@@ -32,6 +32,10 @@
 			"0208b800000000000102030405060708005a00100000000300020000" + "00000000" + "64400007c612000103e801bb" + "00000000" + "00000000"},
 		{"reply to a ping", steer.Message{Kind: steer.Pong, AnswersQueries: true, Load: 1, Slots: 2, Key: key(1000)},
 			"05008000000000000000000000000000000000000000000100020000" + "00000000" + "64400007c612000103e801bb" + "00000000" + "00000000"},
+		{"ping", steer.Message{Kind: steer.Ping, StoreRevision: 0x1122334455667788, Key: key(1000)},
+			"04000000000000001122334455667788000000000000000000000000" + "00000000" + "64400007c612000103e801bb" + "00000000" + "00000000"},
+		{"denial that tells of a newer view", steer.Message{Kind: steer.DenyFlows, Reason: steer.FlowUnknown, State: steer.Leaving, AgentStartMs: 0x0102030405060708, StoreRevision: 0x1122334455667788, Slots: 2},
+			"08081081000000000102030405060708000000000000000000020000" + "00000000" + "112233445566778800000000" + "00000000" + "00000000"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			encoded := make([]byte, row.message.Size())
--- a/pkg/steer/message.go
+++ b/pkg/steer/message.go
@@ -62,13 +62,18 @@
 	// milliseconds by its host's clock, 0 if it has missed packets of its server since. It
 	// is sent in the place of Revision, which a denial does not need.
 	AgentStartMs int64
-	State        ServerState  // of the agent's server, in the balancer's view
-	Service      ServiceID    // that the packet is for
-	Revision     uint64       // of the server's entry in the balancer's view
-	ColdRate     int          // new flows a second while the server is cold, 0 if not set
-	ColdLeft     clock.Millis // how long it stays cold, 0 if it is warm
-	Goal         clock.Millis // response-time goal of the flow's request
-	Priority     int          // of that request, 0 is the most urgent
+	// StoreRevision is, of a Ping, the revision of the platform's store that the balancer's
+	// view shows. Of a denial it is the newest one that a Ping has told the agent, 0 if none.
+	// A Ping carries it in the place of Revision, a denial in the place of Key: not if
+	// PacketKept is set, since a denial without its packet needs the key.
+	StoreRevision uint64
+	State         ServerState  // of the agent's server, in the balancer's view
+	Service       ServiceID    // that the packet is for
+	Revision      uint64       // of the server's entry in the balancer's view
+	ColdRate      int          // new flows a second while the server is cold, 0 if not set
+	ColdLeft      clock.Millis // how long it stays cold, 0 if it is warm
+	Goal          clock.Millis // response-time goal of the flow's request
+	Priority      int          // of that request, 0 is the most urgent
 	// TimeLimit is how long the request's caller waits for the answer, in steps of
 	// timeLimitStep, 0 if not known.
 	TimeLimit clock.Millis
@@ -111,6 +116,10 @@
 	flagAnswers      = 1 << 7
 )
 
+// flagStoreRevision is a bit of the byte that holds State, which balancers don't read from
+// a denial.
+const flagStoreRevision = 1 << 7
+
 // Units of times that are sent in one byte. Larger times are sent as 255 units.
 const (
 	timeLimitStep   = 100 * clock.Millis(1)
@@ -130,8 +139,11 @@
 	b[0], b[1], b[2], b[3] = byte(m.Kind), byte(m.Reason), m.flags(), byte(m.State)
 	binary.BigEndian.PutUint32(b[4:], uint32(m.Service))
 	binary.BigEndian.PutUint64(b[8:], m.Revision)
-	if m.AgentStartMs != 0 {
+	switch {
+	case m.AgentStartMs != 0:
 		binary.BigEndian.PutUint64(b[8:], uint64(m.AgentStartMs))
+	case m.Kind == Ping:
+		binary.BigEndian.PutUint64(b[8:], m.StoreRevision)
 	}
 	if m.reports() {
 		putClamped16(b[16:], m.Utilization)
@@ -149,6 +161,10 @@
 	copy(b[36:40], m.Key.TargetIP[12:])
 	binary.BigEndian.PutUint16(b[40:], m.Key.SourcePort)
 	binary.BigEndian.PutUint16(b[42:], m.Key.TargetPort)
+	if m.deniesWithRevision() {
+		b[3] |= flagStoreRevision
+		binary.BigEndian.PutUint64(b[32:], m.StoreRevision)
+	}
 	binary.BigEndian.PutUint32(b[44:], uint32(m.VisitedCount))
 	putClamped16(b[48:], m.Priority)
 	b[50], b[51] = clamped8(m.TypicalTime/typicalTimeStep), clamped8(m.TimeLimit/timeLimitStep)
@@ -162,6 +178,12 @@
 	return m.HasReport && m.fromAgent()
 }
 
+// deniesWithRevision reports whether the message is a denial that is encoded with
+// StoreRevision.
+func (m *Message) deniesWithRevision() bool {
+	return m.StoreRevision != 0 && (m.Kind == DenyFlows || m.Kind == DenyPacket && !m.PacketKept)
+}
+
 // fromAgent reports whether the message tells of the agent that sends it.
 func (m *Message) fromAgent() bool {
 	return m.Kind == DenyPacket || m.Kind == HoldFlow || m.Kind == Pong || m.Kind == DenyFlows
@@ -207,13 +229,16 @@
 	if kind < OfferPacket || kind > DenyFlows || count > MaxVisited || len(b) < headerBytes+4*int(count) {
 		return nil, ErrMessage
 	}
-	m.Kind, m.Reason, m.State = kind, Reason(b[1]), ServerState(b[3])
+	m.Kind, m.Reason, m.State = kind, Reason(b[1]), ServerState(b[3]&^flagStoreRevision)
 	m.LastOffer, m.Inconclusive = b[2]&flagLastOffer != 0, b[2]&flagInconclusive != 0
 	m.KnownOnly, m.PacketKept = b[2]&flagKnownOnly != 0, b[2]&flagPacketKept != 0
 	m.Service = ServiceID(binary.BigEndian.Uint32(b[4:]))
-	m.Revision, m.AgentStartMs = binary.BigEndian.Uint64(b[8:]), 0
-	if b[2]&flagAgentStarted != 0 {
+	m.Revision, m.AgentStartMs, m.StoreRevision = binary.BigEndian.Uint64(b[8:]), 0, 0
+	switch {
+	case b[2]&flagAgentStarted != 0:
 		m.Revision, m.AgentStartMs = 0, int64(m.Revision)
+	case kind == Ping:
+		m.Revision, m.StoreRevision = 0, m.Revision
 	}
 	m.HasReport, m.NoOthers, m.AnswersQueries = b[2]&flagReport != 0, b[2]&flagNoOthers != 0, b[2]&flagAnswers != 0
 	m.ColdRate, m.ColdLeft, m.Utilization, m.ServiceTime = 0, 0, 0, 0
@@ -231,6 +256,9 @@
 	m.LeastBusy = place.ID(binary.BigEndian.Uint32(b[28:]))
 	m.Key = KeyOf(netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[32:36])), binary.BigEndian.Uint16(b[40:])),
 		netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[36:40])), binary.BigEndian.Uint16(b[42:])))
+	if b[3]&flagStoreRevision != 0 {
+		m.StoreRevision, m.Key = binary.BigEndian.Uint64(b[32:]), flow.Key{}
+	}
 	m.Priority = int(binary.BigEndian.Uint16(b[48:]))
 	m.TypicalTime, m.TimeLimit = clock.Millis(b[50])*typicalTimeStep, clock.Millis(b[51])*timeLimitStep
 	m.VisitedCount = int(count)
--- a/pkg/steer/message_test.go
+++ b/pkg/steer/message_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"dogwoodlanding.example/dogwood/pkg/clock"
+	"dogwoodlanding.example/dogwood/pkg/flow"
 	"dogwoodlanding.example/dogwood/pkg/place"
 	"dogwoodlanding.example/dogwood/pkg/steer"
 	"gotest.tools/v3/assert"
@@ -29,7 +30,17 @@
 			m.HasReport, m.Utilization, m.ServiceTime = true, small.Draw(t, "used"), clock.Millis(small.Draw(t, "took"))
 			m.ColdRate, m.ColdLeft = 0, 0 // the report is sent in their place
 		}
-		if m.AgentStartMs = rapid.Int64Range(0, 1<<50).Draw(t, "start"); m.AgentStartMs != 0 {
+		switch {
+		case m.Kind == steer.Ping:
+			m.StoreRevision, m.Revision = m.Revision, 0 // sent in its place
+		case m.Kind == steer.DenyFlows, m.Kind == steer.DenyPacket && !m.PacketKept:
+			if m.StoreRevision = rapid.Uint64().Draw(t, "storeRevision"); m.StoreRevision != 0 {
+				m.Key = flow.Key{} // sent in its place
+			}
+		}
+		if m.Kind == steer.Ping {
+			m.AgentStartMs = 0
+		} else if m.AgentStartMs = rapid.Int64Range(0, 1<<50).Draw(t, "start"); m.AgentStartMs != 0 {
 			m.Revision = 0 // sent in its place
 		}
 		for i := range m.Visited[:m.VisitedCount] {
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -19,7 +19,7 @@
 type parkReason uint8
 
 const (
-	// A view that is recent enough to conclude that no server holds the flow.
+	// A view that is recent enough to conclude that no server holds the flow of a search.
 	awaitFreshView parkReason = iota
 	// An answer of the platform to a request sent after the packet was parked.
 	awaitAnswer
@@ -63,9 +63,18 @@
 }
 
 // viewConclusive reports whether the view is recent enough to conclude that no server
-// holds a flow.
+// holds a flow. A balancer that has just started opens flows at every server of its first
+// listing, and has told the agents there of its revision before. So no view is recent enough
+// that is older than what the agents have been told.
 func (b *Balancer) viewConclusive(now clock.Millis) bool {
-	return b.Registry.Fresh(now) && !b.needsRefresh
+	return b.Registry.Fresh(now) && b.Registry.dataAsOf >= b.behindSince && !b.needsRefresh
+}
+
+// conclusive reports whether the view is recent enough to conclude that no server holds the
+// flow of a search. If no agent has answered, none could tell of a newer view, and the view
+// must be newer than the packet.
+func (b *Balancer) conclusive(now clock.Millis, s *search) bool {
+	return b.viewConclusive(now) && (len(s.answers) > 0 || b.Registry.dataAsOf >= s.since)
 }
 
 // park keeps a packet until what it waits for has come. A later packet of the same flow,
@@ -96,7 +105,7 @@
 	case awaitAnswer:
 		return b.viewConclusive(now) && b.Registry.dataAsOf >= p.parkedAt
 	}
-	return b.viewConclusive(now)
+	return b.conclusive(now, p.search)
 }
 
 // KeepRaw stores a copy of the bytes of the packet on which the last decision was to
--- a/pkg/steer/query.go
+++ b/pkg/steer/query.go
@@ -171,7 +171,7 @@
 		}
 		i := slices.IndexFunc(answer, func(d FlowsMessage) bool { return d.Message.Kind == DenyFlows && d.Message.Reason == reason })
 		if i < 0 {
-			denial := FlowsMessage{Message: Message{Kind: DenyFlows, Reason: reason, AgentStartMs: a.startOfRecords(reason)}}
+			denial := FlowsMessage{Message: Message{Kind: DenyFlows, Reason: reason, AgentStartMs: a.startOfRecords(reason), StoreRevision: a.storeRevision}}
 			a.Report(&denial.Message)
 			i, answer = len(answer), append(answer, denial)
 		}
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -122,6 +122,7 @@
 	// dataAsOf is the send time of the last request that the platform answered: the
 	// answer reflects the state at that time or later.
 	dataAsOf     clock.Millis
+	revision     uint64       // of the platform's store, by RevisionOf, that the view shows
 	platformLost bool         // the platform does not answer
 	platformBack clock.Millis // end of the platform's last outage
 	hasListing   bool         // a whole listing has been received
@@ -155,6 +156,10 @@
 	return true
 }
 
+// RecordRevision records the revision of the platform's store, by RevisionOf, that the
+// changes applied so far lead to.
+func (r *Registry) RecordRevision(revision uint64) { r.revision = max(r.revision, revision) }
+
 // RecordOutage records that the platform does not answer. It reports whether an outage
 // begins.
 func (r *Registry) RecordOutage() bool {
@@ -370,8 +375,9 @@
 }
 
 // Fresh reports whether the view is recent enough to conclude that no server holds a
-// flow: it is younger than settleTime, so a server that it lacks has not yet received
-// flows from any balancer. A store that was just restored may lack others.
+// flow: it is younger than settleTime, so a server that it lacks has received flows only
+// from balancers that began with a later listing. A store that was just restored may lack
+// others.
 func (r *Registry) Fresh(now clock.Millis) bool {
 	return r.hasListing && now-r.dataAsOf < settleTime && !r.restoring(now)
 }
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -181,7 +181,7 @@
 		return b.end(s, Decision{Verdict: Drop, Reason: AllDenied})
 	case plan.anyEvacuated:
 		return b.end(s, Decision{Verdict: Drop, Reason: OutOfService})
-	case !b.viewConclusive(now):
+	case !b.conclusive(now, s):
 		return b.parkSearch(now, s, awaitFreshView)
 	case len(plan.try) > 0:
 		if !s.trying {
--- /dev/null
+++ b/pkg/steer/start_test.go
@@ -0,0 +1,90 @@
+package steer_test
+
+import (
+	"testing"
+
+	"dogwoodlanding.example/dogwood/pkg/steer"
+	"gotest.tools/v3/assert"
+)
+
+// startAndPing starts a balancer that lists the cluster's servers, at a revision of the
+// store, and whose pings their agents answer.
+func (c *cluster) startAndPing(revision uint64) *steer.Balancer {
+	b, pinged := c.start()
+	b.Registry.RecordRevision(revision)
+	for id := range pinged {
+		ping := b.Ping()
+		pong := c.hosts[id].agent.AnswerPing(&ping)
+		b.HandleMessage(c.now, id, &pong)
+	}
+	return b
+}
+
+// openAt opens flows through a balancer until one opens at a host, and returns its port.
+func (c *cluster) openAt(b *steer.Balancer, h *host) int {
+	for port := 1000; port < 1400; port++ {
+		if c.open(b, port) == h {
+			return port
+		}
+	}
+	c.t.Fatalf("no flow opened at %s", h.name)
+	return 0
+}
+
+// A balancer that is restarted just after a server was listed opens flows there at once.
+// Another balancer, whose view is some hundred milliseconds older, took the answers of the
+// agents that it knew for proof that no server held such a flow, and reset it.
+func TestFlowAtServerOfFirstListingIsNotReset(t *testing.T) {
+	c := newCluster(t, 6, 1)
+	b := c.balancers[0]
+	b.Registry.RecordRevision(6)
+	c.now += 400
+	id, entry := c.addHost("new")
+	started := c.startAndPing(7)
+	port := c.openAt(started, c.hosts[id])
+	c.now += 100
+	assert.Assert(t, c.send(b, dataPacket(port, c.hosts[id].server)) == nil)
+	assert.Equal(t, len(c.resets), 0)
+	assert.DeepEqual(t, c.drops, []steer.Reason{steer.StaleView}) // parked
+	c.now += 20
+	b.Registry.RecordPlatformAnswer(c.now, c.now-10)
+	b.Registry.Apply(c.now, []steer.Change{{Server: entry}})
+	assert.Equal(t, c.resume(b), c.hosts[id])
+	assert.Equal(t, len(c.resets), 0)
+}
+
+// If the new server is the first one of its service, there is no agent that could tell of
+// the newer view.
+func TestFlowAtFirstServerOfServiceIsNotReset(t *testing.T) {
+	c := newCluster(t, 0, 1)
+	b := c.balancers[0]
+	c.now += 400
+	id, entry := c.addHost("new")
+	port := c.openAt(c.startAndPing(1), c.hosts[id])
+	c.now += 100
+	assert.Assert(t, c.send(b, dataPacket(port, c.hosts[id].server)) == nil)
+	assert.Equal(t, len(c.resets), 0)
+	c.now += 20
+	b.Registry.RecordPlatformAnswer(c.now, c.now-10)
+	b.Registry.Apply(c.now, []steer.Change{{Server: entry}})
+	assert.Equal(t, c.resume(b), c.hosts[id])
+}
+
+// An agent that tells of a revision which the store never reaches, after a fault, must not
+// keep lost flows from being reset for good: one newer answer of the store settles it.
+func TestToldRevisionNeedsOneAnswerOnly(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	b := c.balancers[0]
+	for _, h := range c.hosts {
+		h.agent.AnswerPing(&steer.Message{Kind: steer.Ping, StoreRevision: 1 << 50})
+	}
+	c.now += 20
+	c.send(b, dataPacket(1000, newServer(77)))
+	assert.Equal(t, len(c.resets), 0)
+	c.now += 20
+	b.Registry.RecordPlatformAnswer(c.now, c.now-10)
+	c.resume(b)
+	assert.Equal(t, len(c.resets), 1)
+	c.send(b, dataPacket(1001, newServer(77)))
+	assert.Equal(t, len(c.resets), 2)
+}
