Ask an agent that a route's other service reuses for any service

What callers would see: a route has two services, and a host of one goes to a server of the other. A balancer that does not know the owner of a flow there resets it while the server lives.

Cause: a search asks an agent under the service by which it first occurs. The agent denies packets of its host's former service as WrongService, which counts as proof that its server does not hold the flow, also for the present service.

Change: if the agent's latest server belongs to another target of the route, it is asked once, for any service.

Evidence: TestFlowAtReusedHostIsNotReset, with a reset before and none after.

Why it works: both services are targets, so the agent's answer by its records settles the question for both. Agents of services that are no targets deny as before.

--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -87,7 +87,7 @@
 		var ranked [searchGrowth]place.ID
 		for _, id := range ranked[:rank(pool.holders, pool.localHolders, hash, ranked[:])] {
 			if !view.holdsNoFlows(id) && !b.departed(now, view, id) && !b.evacuationEnded(now, view, id) && !b.isSilent(id) {
-				return holder{id, target.Service}, true
+				return view.holderOf(route, id, target.Service), true
 			}
 		}
 	}
@@ -319,6 +319,7 @@
 // possibleHolders returns the agents whose servers may hold a flow, in its order.
 func (b *Balancer) possibleHolders(view *View, route *Route, hash uint64) []holder {
 	var holders []holder
+	known := make(map[place.ID]bool)
 	for _, target := range route.Targets {
 		pool := view.services[target.Service]
 		if pool == nil {
@@ -326,8 +327,9 @@
 		}
 		bound := holderBound{view: view, service: target.Service}
 		for _, id := range pool.holderOrder(hash) {
-			if !bound.excludes(id) || b.Disabled.Has(BoundSearch) {
-				holders = append(holders, holder{id, target.Service})
+			if excluded := bound.excludes(id) && !b.Disabled.Has(BoundSearch); !excluded && !known[id] {
+				known[id] = true
+				holders = append(holders, view.holderOf(route, id, target.Service))
 			}
 		}
 	}
--- a/pkg/steer/start_test.go
+++ b/pkg/steer/start_test.go
@@ -70,6 +70,45 @@
 	assert.Equal(t, c.resume(b), c.hosts[id])
 }
 
+// withServices returns the test's configuration with a route to one service, and settings of
+// both.
+func withServices(version uint64, target string) *steer.Config {
+	c := config(version)
+	c.Routes[0].Targets = []steer.Target{{Service: target, Weight: 1}}
+	c.Services = append(c.Services, steer.Service{Name: "next"})
+	return c
+}
+
+// A host of a route's one service is reused by its other one. The denial for the former
+// service was taken for proof that the host's server did not hold the flow.
+func TestFlowAtReusedHostIsNotReset(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	b := c.balancers[0]
+	h := c.someHost()
+	id := c.agentOf(h)
+	split := withServices(2, "desk")
+	split.Routes[0].Targets = append(split.Routes[0].Targets, steer.Target{Service: "next", Weight: 1})
+	c.apply(steer.Change{Config: split}, steer.Change{Removed: h.name})
+	c.now += 3000
+	h.name, h.agent = "successor", &steer.Agent{Service: steer.ServiceOf("next")}
+	entry := c.entry(id, steer.Serving)
+	entry.Service, entry.StartMs = "next", 1
+	c.apply(steer.Change{Server: entry})
+	c.now += 1300
+	c.apply()
+	port := c.openAt(b, h)
+	c.resets = nil // of flows whose hash chose the former service
+	other := &steer.Balancer{}
+	other.Registry.RecordPlatformAnswer(c.now, c.now)
+	listing := []steer.Change{{Config: split}, {Server: entry}}
+	former := *entry
+	former.Name, former.Service, former.StartMs = "former", "desk", 0
+	other.Registry.ApplyListing(c.now, append(listing, steer.Change{Server: &former}))
+	c.balancers = append(c.balancers, other)
+	assert.Equal(t, c.send(other, dataPacket(port, h.server)), h)
+	assert.Equal(t, len(c.resets), 0)
+}
+
 // An agent that tells of a revision which the store never reaches, after a fault, must not
 // keep lost flows from being reset for good: one newer answer of the store settles it.
 func TestToldRevisionNeedsOneAnswerOnly(t *testing.T) {
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -146,6 +146,17 @@
 	return out
 }
 
+// holderOf returns an agent of a service as a possible holder of a route's flow. The service
+// is empty, which means any, if the agent's latest server belongs to another target of the
+// route: a denial of one service would not speak for the other.
+func (v *View) holderOf(route *Route, id place.ID, service string) holder {
+	if latest := v.serverByAgent[id]; latest != nil && latest.Service != service &&
+		slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == latest.Service }) {
+		service = ""
+	}
+	return holder{id, service}
+}
+
 // Servers returns the number of servers in the view.
 func (v *View) Servers() int { return len(v.serverByAgent) }
 
