Search all services for flows from before the start of a balancer

What callers saw: all weight of a route had gone to its other service.

Cause: only a process that received the earlier configuration knew a route's former services. A new one took those of its first configuration for all that there ever were, asked their agents, and concluded that no server held the flow.

Change: for the longest life of a flow after its first configuration, a balancer counts the servers of all services among the possible holders, those of the route's targets first.

Why it works: a server that holds a flow is listed, or was while the flow lived, so its service is asked. Later changes are seen by the process itself.

Test: TestFlowAtServiceOfEarlierConfigurationIsNotReset, a reset before and none after.

--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -320,16 +320,16 @@
 func (b *Balancer) possibleHolders(view *View, route *Route, hash uint64) []holder {
 	var holders []holder
 	known := make(map[place.ID]bool)
-	for _, target := range route.Targets {
-		pool := view.services[target.Service]
+	for _, service := range view.holderServices(route) {
+		pool := view.services[service]
 		if pool == nil {
 			continue
 		}
-		bound := holderBound{view: view, service: target.Service}
+		bound := holderBound{view: view, service: service}
 		for _, id := range pool.holderOrder(hash) {
 			if excluded := bound.excludes(id) && !b.Disabled.Has(BoundSearch); !excluded && !known[id] {
 				known[id] = true
-				holders = append(holders, view.holderOf(route, id, target.Service))
+				holders = append(holders, view.holderOf(route, id, service))
 			}
 		}
 	}
--- a/pkg/steer/start_test.go
+++ b/pkg/steer/start_test.go
@@ -79,6 +79,44 @@
 	return c
 }
 
+// A balancer that starts after all weight of a route went to another service reset the
+// flows that were open at the former one: it asked only the agents of the present one.
+func TestFlowAtServiceOfEarlierConfigurationIsNotReset(t *testing.T) {
+	c := newCluster(t, 6, 1)
+	owner := c.open(c.balancers[0], 1000)
+	for _, h := range c.others(owner)[:3] {
+		h.agent.Service = steer.ServiceOf("next")
+	}
+	restarted := &steer.Balancer{}
+	c.balancers = append(c.balancers, restarted)
+	listing := []steer.Change{{Config: withServices(2, "next")}}
+	for id, h := range c.hosts {
+		entry := c.entry(id, steer.Serving)
+		if h.agent.Service == steer.ServiceOf("next") {
+			entry.Service = "next"
+		}
+		listing = append(listing, steer.Change{Server: entry})
+	}
+	restarted.Registry.RecordPlatformAnswer(c.now, c.now)
+	restarted.Registry.ApplyListing(c.now, listing)
+	assert.Equal(t, c.send(restarted, dataPacket(1000, owner.server)), owner)
+	assert.Equal(t, len(c.resets), 0)
+	assert.Equal(t, c.misdelivered(), 0)
+	for port := 2000; port < 2020; port++ {
+		h := c.open(restarted, port)
+		assert.Assert(t, h.agent.Service == steer.ServiceOf("next"), "a new flow opened at the former service")
+	}
+	restarted.Registry.Apply(c.now, []steer.Change{{Config: withServices(3, "next")}})
+	assert.Equal(t, c.send(restarted, dataPacket(1000, owner.server)), owner, "after the next version")
+
+	c.offers, c.queries = 0, 0
+	c.now += steer.DefaultFlowLife
+	restarted.Registry.RecordPlatformAnswer(c.now, c.now)
+	c.send(restarted, dataPacket(3000, newServer(77)))
+	assert.Equal(t, len(c.resets), 1)
+	assert.Assert(t, c.offers+c.queries <= 2*3, "more than three agents asked and tried after all earlier flows have ended")
+}
+
 // A host of a route's one service is reused by its other one. The denial for the former
 // service was taken for proof that the host's server did not hold the flow.
 func TestFlowAtReusedHostIsNotReset(t *testing.T) {
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -15,8 +15,11 @@
 type View struct {
 	Version uint64 // of the configuration
 
-	routes        map[netip.AddrPort]*Route
-	services      map[string]*pool
+	routes   map[netip.AddrPort]*Route
+	services map[string]*pool
+	// former has the services that a route may have had before the process started, empty
+	// once all flows from before that have ended.
+	former        []string
 	serverByAgent map[place.ID]*Server
 	evacuated     map[string]evacuation // by data centre
 	acceptsSince  map[holder]uint64     // revisions, as set by recordAccepting
@@ -73,6 +76,12 @@
 			v.services[t.Service] = nil
 		}
 	}
+	if now < r.formerUntil {
+		v.former, v.validUntil = serverServices(r.servers), r.formerUntil
+		for _, service := range v.former {
+			v.services[service] = nil
+		}
+	}
 	accepting, holders := make(map[string][]place.Member), make(map[string][]place.Member)
 	localHolders := make(map[string][]place.Member)
 	var localServing []*Server // in service
@@ -146,13 +155,39 @@
 	return out
 }
 
+// serverServices returns the services of servers in alphabetical order.
+func serverServices(servers map[string]*Server) []string {
+	services := make(map[string]bool)
+	for _, s := range servers {
+		services[s.Service] = true
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
+// holderServices returns the services whose servers may hold flows of a route: those of its
+// targets, then those that may have been targets before the process started.
+func (v *View) holderServices(route *Route) []string {
+	services := make([]string, 0, len(route.Targets)+len(v.former))
+	for _, t := range route.Targets {
+		services = append(services, t.Service)
+	}
+	for _, service := range v.former {
+		if !slices.Contains(services, service) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // holderOf returns an agent of a service as a possible holder of a route's flow. The service
-// is empty, which means any, if the agent's latest server belongs to another target of the
-// route: a denial of one service would not speak for the other.
+// is empty, which means any, if the agent's latest server belongs to another one that may
+// hold the flow too: a denial of one service would not speak for the other.
 func (v *View) holderOf(route *Route, id place.ID, service string) holder {
-	if latest := v.serverByAgent[id]; latest != nil && latest.Service != service &&
-		slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == latest.Service }) {
-		service = ""
+	if latest := v.serverByAgent[id]; latest != nil && latest.Service != service {
+		isTarget := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == latest.Service })
+		if isTarget || slices.Contains(v.former, latest.Service) {
+			service = ""
+		}
 	}
 	return holder{id, service}
 }
