--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -16,7 +16,7 @@
 	good    = `{"version":5,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/80/","backend":"desk","slo_ms":200,"timeout_ms":1500}]}`
 	invalid = `{"version":5,
 	"routes":[{"name":"r","host":"nowhere","prefix":"/80/","backend":"desk"}]}`
-	servers  = `[{"backend":"desk","addr":"10.128.0.9:8080","zone":"dc1","slots":7,"state":"ready"}]`
+	servers  = `[{"backend":"desk","addr":"10.128.0.9:8080","zone":"dc1","version":"v1","slots":7,"state":"ready","warmup_left_ms":0,"seq":4}]`
 	settings = `{"Path":{"Name":"b","DataCentre":"dc1","Host":"127.0.0.1","Packets":"127.0.0.1:1","Ready":"127.0.0.1:2"},
 		"Store":"127.0.0.1:3","Agents":"127.0.0.1:4","EvacuateMs":5000,"DrainMs":3000,"ConfigMs":5000}`
 )
