Let one rule decide which entry speaks for a server

What callers saw: another writer left an entry with the address of a server and a service that the configuration does not name.

Cause: of several entries with the same agent, the view took the one of the latest run, and of equal runs the last one in the order of names. Offers for the agent's flows then named its service; the agent denied them as WrongService, which counts as proof that its server does not hold the flow.

Change: an entry of a service that the configuration names speaks before one of another; then the later run; then a listed entry; then of one known run an entry that drains; then the one written later.

Why it works: PROTOCOL.md, Service discovery: an entry with "a state or service that isn't named here [...] names no server to use; the others hold." A run does not take its drain back.

--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -76,6 +76,10 @@
 			v.services[t.Service] = nil
 		}
 	}
+	named := maps.Clone(v.services) // by the configuration
+	for _, s := range r.config.Services {
+		named[s.Name] = nil
+	}
 	if now < r.formerUntil {
 		v.former, v.validUntil = serverServices(r.servers), r.formerUntil
 		for _, service := range v.former {
@@ -93,7 +97,7 @@
 		if local(s) {
 			addMember(localHolders, s)
 		}
-		if latest := v.serverByAgent[s.Agent]; latest == nil || latest.StartMs <= s.StartMs {
+		if other := v.serverByAgent[s.Agent]; other == nil || s.speaksBefore(other, named) {
 			v.serverByAgent[s.Agent] = s
 		}
 	}
@@ -137,6 +141,27 @@
 	return v
 }
 
+// speaksBefore reports whether an entry, rather than another one with the same agent, tells
+// the state of the server there. Entries may come from other writers: one of a service that
+// the configuration does not name tells nothing of a server of a named service. Otherwise
+// the later run counts, then a listed entry, then of one known run one that drains, then the
+// one written later.
+func (s *Server) speaksBefore(other *Server, named map[string]*pool) bool {
+	_, isNamed := named[s.Service]
+	_, otherNamed := named[other.Service]
+	switch {
+	case isNamed != otherNamed:
+		return isNamed
+	case s.StartMs != other.StartMs:
+		return s.StartMs > other.StartMs
+	case (s.unlistedSince == 0) != (other.unlistedSince == 0):
+		return s.unlistedSince == 0
+	case s.StartMs != 0 && s.hasDrained != other.hasDrained:
+		return s.hasDrained
+	}
+	return s.Revision > other.Revision
+}
+
 // addMember adds the agent of a server to its service, unless it is there already.
 func addMember(members map[string][]place.Member, s *Server) {
 	m := place.Member{ID: s.Agent, Weight: s.Slots}
