Notice a later evacuation of a data centre that is already out

What callers saw: a balancer without a connection to the store missed that a data centre was taken back and evacuated again.

Cause: an evacuation of a data centre that was out already was ignored, so the revision of the first one stayed. By that the new server was listed after the evacuation, and such a server holds no flows.

Change: an evacuation with a later revision of the same era replaces the known one, with a grace period of its own.

Why it works: a key that was created later shows that the earlier order had ended, though this process did not see it.

--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -307,6 +307,40 @@
 	return owner
 }
 
+// A balancer that is cut off misses that a data centre is taken back and out again. By the
+// first evacuation it judged that servers listed since hold no flows, and reset those that
+// opened in between.
+func TestServerListedBeforeLaterEvacuationMayHoldFlows(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	cutOff := c.balancers[1]
+	centre := c.someHost().centre
+	out := steer.Change{DataCentreName: centre, OutOfService: true, Revision: 100}
+	c.apply(out)
+	c.revision = 110
+	id, entry := c.addHost("late")
+	c.hosts[id].centre, entry.DataCentre, entry.CreatedRevision = centre, centre, c.revision
+	c.apply(steer.Change{Server: entry})
+	c.now += 2000
+	c.balancers = c.balancers[:1]
+	c.apply(steer.Change{DataCentreName: centre})
+	port := c.openAt(c.balancers[0], c.hosts[id])
+	c.now += 2000
+	again := steer.Change{DataCentreName: centre, OutOfService: true, Revision: 120}
+	c.balancers = append(c.balancers, cutOff)
+	c.apply(again)
+	c.resets = nil
+	assert.Equal(t, c.send(cutOff, dataPacket(port, c.hosts[id].server)), c.hosts[id])
+	assert.Equal(t, len(c.resets), 0)
+
+	// The grace period of the later evacuation ends, whatever is reported again.
+	c.now += 4000
+	c.apply(again)
+	c.now += 1001
+	c.apply()
+	assert.Assert(t, c.send(cutOff, dataPacket(port, c.hosts[id].server)) == nil)
+	assert.Equal(t, len(c.resets), 0)
+}
+
 func TestServerListedAfterEvacuationHoldsNoFlows(t *testing.T) {
 	c := newCluster(t, 3, 1)
 	owner := c.open(c.balancers[0], 1000)
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -142,7 +142,7 @@
 // evacuation is the state of a data centre that has been taken out of service.
 type evacuation struct {
 	since    clock.Millis // when this process received the change
-	revision uint64       // at which it was taken out of service
+	revision uint64       // of the change that took it out of service
 }
 
 // RecordPlatformAnswer records an answer of the platform to a request that was sent at the time
@@ -338,9 +338,12 @@
 	return out
 }
 
-// setDataCentre takes a data centre out of service or back into service.
+// setDataCentre takes a data centre out of service or back into service. A process that was
+// cut off may learn of a later evacuation only, and not that the one that it knows has ended.
 func (r *Registry) setDataCentre(now clock.Millis, c Change) []Event {
-	if _, wasOut := r.evacuated[c.DataCentreName]; wasOut == c.OutOfService {
+	before, wasOut := r.evacuated[c.DataCentreName]
+	again := wasOut && eraOf(c.Revision) == eraOf(before.revision) && c.Revision > before.revision
+	if wasOut == c.OutOfService && !again {
 		return nil
 	}
 	r.view = nil
