Don't take a first listing for complete where a request would be lost

The store had been restored without the entries of running servers; a balancer that started just then listed one server, whose agent denied the flows.

Cause: a process that sees an outage or a restore waits for 2.1 s until expired entries are back before it concludes that no server holds a flow. A process that starts afterwards saw neither and took its first listing for complete.

Change: for 2.1 s after the first listing, flows whose requests may not be repeated are not reset for want of a holder, unless the balancer knew the owner.

Why it works: entries of running servers are back about two seconds after the store. Callers that may repeat their requests are still told at once, since after a loss of everything nearly all flows without a holder are lost; for the others a reset only tells sooner what is lost anyway.

TestFirstListingAfterOutageMayLackServers expected a reset of an open flow 100 ms after a first listing without servers: that was this fault. It now expects it after 2.2 s, and the reset of the new flow at once as before. The clusters of the tests have listed 2.1 s ago, as running balancers have; the load test after a loss of power has a route whose requests may be repeated.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -157,7 +157,8 @@
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
 	hash := p.Key.Hash()
-	if b.owners.Get(now, hash) == from {
+	wasOwner := b.owners.Get(now, hash) == from
+	if wasOwner {
 		b.owners.Delete(hash)
 	}
 	m.Kind = OfferPacket
@@ -166,7 +167,7 @@
 		m.addVisited(from)
 		return b.open(now, view, route, hash, p, m)
 	}
-	return b.denyHolder(now, view, route, hash, from, p, m)
+	return b.denyHolder(now, view, route, hash, from, wasOwner, p, m)
 }
 
 // DeniedKept handles the denial of a packet that the agent has not sent back, since this
--- a/pkg/steer/bound_test.go
+++ b/pkg/steer/bound_test.go
@@ -25,6 +25,8 @@
 		c.balancers[i].Registry.RecordPlatformAnswer(c.now, c.now)
 		c.balancers[i].Registry.ApplyListing(c.now, append([]steer.Change{{Config: config(1)}}, listing...))
 	}
+	c.now += steer.EntryReturnTime
+	c.apply()
 }
 
 // The agents asked about a flow that nobody holds grow with the logarithm of their
--- a/pkg/steer/cluster_test.go
+++ b/pkg/steer/cluster_test.go
@@ -54,6 +54,8 @@
 	seq      uint32         // initial sequence number
 }
 
+// newCluster returns a cluster whose balancers have listed the servers long enough ago for
+// entries that had expired before to be back.
 func newCluster(t testing.TB, servers, balancers int) *cluster {
 	c := &cluster{t: t, now: 1_700_000_000_000, hosts: make(map[place.ID]*host)}
 	var listing []steer.Change
@@ -71,6 +73,8 @@
 		b.Registry.ApplyListing(c.now, listing)
 		c.balancers = append(c.balancers, b)
 	}
+	c.now += steer.EntryReturnTime
+	c.apply()
 	return c
 }
 
--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -353,6 +353,8 @@
 	c.apply(steer.Change{Removed: owner.name}, steer.Change{Server: replacement})
 	c.send(c.balancers[0], p)
 	c.balancers[0] = newBalancerAfter(c, replacement)
+	c.now += steer.EntryReturnTime
+	c.apply()
 	c.send(c.balancers[0], p)
 	assert.Equal(t, len(c.resets), 1)
 }
--- a/pkg/steer/query_test.go
+++ b/pkg/steer/query_test.go
@@ -33,6 +33,7 @@
 	c.now += 10
 	began := c.now
 	b := c.started()
+	c.setRepeatable(true)
 	for port := range flows {
 		p := steer.Packet{Key: key(port), HasACK: true, Seq: 2, Ack: 9, Bytes: 300}
 		var m steer.Message
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -132,6 +132,7 @@
 	// firstAfterOutage is set if the first listing of this process followed an outage of the
 	// platform: entries that expired meanwhile were never known here.
 	firstAfterOutage bool
+	firstListed      clock.Millis // time of the first listing
 	// restoreHeldUntil is the end of the time in which a restored store may lack what
 	// was written before, 0 if it was never restored.
 	restoreHeldUntil clock.Millis
@@ -206,7 +207,7 @@
 	}
 	events = append(events, r.Apply(now, applied)...)
 	if !r.hasListing {
-		r.hasListing, r.firstAfterOutage = true, r.platformBack != 0
+		r.hasListing, r.firstAfterOutage, r.firstListed = true, r.platformBack != 0, now
 	}
 	return events
 }
@@ -456,6 +457,13 @@
 	return r.firstAfterOutage && now < r.platformBack+EntryReturnTime && !r.Disabled.Has(AwaitEntry)
 }
 
+// JustListed reports whether entries that expired before the first listing of this process may
+// still return: it may have begun just after an outage of the platform or a restore of its
+// store, which nothing in the listing shows.
+func (r *Registry) JustListed(now clock.Millis) bool {
+	return now < r.firstListed+EntryReturnTime && !r.Disabled.Has(AwaitEntry)
+}
+
 // AwaitingReturn reports whether the entry of a server that was not draining may still
 // return, and how long the next request to the platform can wait: an answer to an
 // earlier one could not confirm that the entry did not return.
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -37,6 +37,7 @@
 	askedAt   clock.Millis
 	roundSize int
 	trying    bool // the agents try their servers
+	hadOwner  bool // the first agent to deny was known as the flow's owner
 	// queried are the agents that were asked without the packet.
 	queried []place.ID
 	// holders are the agents whose servers may hold the flow in a view, in its order.
@@ -119,10 +120,11 @@
 
 // denyHolder records an agent's denial in a search, and goes on with it once the round
 // is over. An agent that denies the first offer begins it.
-func (b *Balancer) denyHolder(now clock.Millis, view *View, route *Route, hash uint64, from place.ID, p Packet, m *Message) Decision {
+func (b *Balancer) denyHolder(now clock.Millis, view *View, route *Route, hash uint64, from place.ID, wasOwner bool, p Packet, m *Message) Decision {
 	s := b.searches[p.Key]
 	if s == nil {
 		s = b.newSearch(now, p, m)
+		s.hadOwner = wasOwner
 		b.searches[p.Key] = s
 		s.record(view, from, m)
 		s.roundSize *= searchGrowth
@@ -188,8 +190,11 @@
 			s.trying, s.roundSize = true, searchGrowth
 		}
 		return b.ask(now, s, plan.try, false)
-	case b.Registry.MayLackServers(now):
-		return b.end(s, Decision{Verdict: Drop, Reason: StaleView}) // the holder may not be listed yet
+	case b.Registry.MayLackServers(now), !route.Repeatable && !s.hadOwner && b.Registry.JustListed(now):
+		// The holder may not be listed yet. If no outage was seen, a caller that may repeat its
+		// request is told at once even so: most flows that nobody holds are lost. One that may
+		// not repeat it would only learn sooner that it failed.
+		return b.end(s, Decision{Verdict: Drop, Reason: StaleView})
 	}
 	reason := AllDenied
 	if plan.anyAbandoned {
