Keep the bytes of a resumed packet before its search offers it

What callers would see: a packet that waited for an answer of the store is offered to an agent with the bytes of another packet; one with more than 352 bytes of data would end the balancer by a slice out of range. Seen in the source by the review.

Cause: a search that begins when a parked packet is resumed keeps the packet's bytes, but Balancer.Resume returned its first offer before they were stored.

Change: Resume stores them as soon as the decision on the packet is to wait.

Evidence: TestResumedPacketKeepsItsBytes plays the order: the owner's entry is gone, all first holders are silent and have not answered queries. The offer had no bytes before and has its own after.

Why it works: each offer of a search takes its bytes from the search.

--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -139,6 +139,9 @@
 			b.resumedSince = p.since
 			r.Decision = b.resume(now, view, p, r.Message)
 			b.resumedSince = 0
+			if r.Decision.Verdict == Wait {
+				b.KeepRaw(r.Raw) // before the search's offers are returned
+			}
 			if r.Decision.Verdict == Wait && len(b.ready) > 0 {
 				return b.Resume(now)
 			}
--- a/pkg/steer/search_test.go
+++ b/pkg/steer/search_test.go
@@ -407,3 +407,33 @@
 	c.resume(b)
 	assert.Equal(t, len(c.resets), 1)
 }
+
+// A parked packet began a search whose agents are offered the packet. It was offered before
+// its bytes were kept for the search, so the agent got those of another packet.
+func TestResumedPacketKeepsItsBytes(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	b := c.balancers[0]
+	hosts := c.sorted()
+	owner, other := hosts[0], hosts[1]
+	b.HandleMessage(c.now, c.agentOf(owner), &steer.Message{Kind: steer.HoldFlow, Key: key(1000)})
+	owner.unreachable, other.unreachable = true, true
+	for port := 2000; port < 2010; port++ {
+		c.send(b, steer.Packet{Key: key(port), SYN: true})
+	}
+	c.apply(steer.Change{Server: c.entry(c.agentOf(owner), steer.Leaving)}, steer.Change{Removed: owner.name})
+	for range 21 {
+		c.now += 100
+		b.Tick(c.now, func(agentID) {})
+	}
+	var m steer.Message
+	d := b.FromCaller(c.now, dataPacket(1000, owner.server), &m)
+	assert.Equal(t, d.Reason, steer.StaleView)
+	b.KeepRaw([]byte("packet"))
+	c.now += 5
+	b.Registry.RecordPlatformAnswer(c.now, c.now)
+	r, ok := b.Resume(c.now)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Decision.Verdict, steer.Offer)
+	assert.Equal(t, r.Decision.To, c.agentOf(other))
+	assert.Equal(t, string(r.Raw), "packet")
+}
