Take RegainMs from the environment during upgrades

Cause: the template of a balancer's settings had RegainMs, and programs of earlier versions end at settings that they do not know. During an upgrade hosts run either version; if the platform wrote the new template for an old program, that host would not start.

--- a/cmd/dogpath/main.go
+++ b/cmd/dogpath/main.go
@@ -26,6 +26,14 @@
 	Settings string `arg:"--settings,required" help:"JSON settings file"`
 }
 
+// balancerArgs are the arguments of a balancer.
+type balancerArgs struct {
+	daemonArgs
+	// RegainMs is an argument too, since programs of earlier versions, which run beside this
+	// one during an upgrade, end at settings that they do not know.
+	RegainMs int `arg:"--regain-ms,env:DOGPATH_REGAIN_MS" help:"RegainMs if the settings do not have it"`
+}
+
 // traceArgs are the arguments of trace.
 type traceArgs struct {
 	Flow    string   `arg:"--flow,required" help:"caller's ADDRESS:PORT, or both ends as in the logs"`
@@ -35,10 +43,10 @@
 
 // args holds the arguments of the selected subcommand; the others are nil.
 type args struct {
-	Balancer *daemonArgs `arg:"subcommand:balancer" help:"run a balancer on an entry host"`
-	Agent    *daemonArgs `arg:"subcommand:agent" help:"run an agent beside a backend server"`
-	Trace    *traceArgs  `arg:"subcommand:trace" help:"print the log lines of one flow, ordered by time"`
-	Check    *check.Args `arg:"subcommand:check" help:"check a configuration before it is sent to the store"`
+	Balancer *balancerArgs `arg:"subcommand:balancer" help:"run a balancer on an entry host"`
+	Agent    *daemonArgs   `arg:"subcommand:agent" help:"run an agent beside a backend server"`
+	Trace    *traceArgs    `arg:"subcommand:trace" help:"print the log lines of one flow, ordered by time"`
+	Check    *check.Args   `arg:"subcommand:check" help:"check a configuration before it is sent to the store"`
 }
 
 // Description returns the text that go-arg prints above the usage.
@@ -86,6 +94,9 @@
 		if err != nil {
 			return err
 		}
+		if settings.RegainMs == 0 {
+			settings.RegainMs = max(0, a.Balancer.RegainMs)
+		}
 		b := &path.Balancer{Settings: settings, SettingsFile: a.Balancer.Settings, Log: newLogger(settings.Path, out), DroppedLines: out.Dropped}
 		return b.Run(ctx)
 	case a.Agent != nil:
