Tell agents of entries that are newer than the listing's first page

A server from a later page may have been listed after that revision, so a ping did not tell of it.

Change: a ping tells the highest revision of an entry if that is newer. The revision with which a balancer compares what it is told stays that of the first page.

Evidence: TestPingTellsOfEntriesFromLaterPages failed before and passes now.

Why it works: a balancer whose view has all changes up to the highest entry has that entry too.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -193,7 +193,7 @@
 // Ping returns the message that probes an agent. It tells the agent of the view, so that the
 // agent's denials tell other balancers that servers may have been listed which they lack.
 func (b *Balancer) Ping() Message {
-	return Message{Kind: Ping, StoreRevision: b.Registry.revision}
+	return Message{Kind: Ping, StoreRevision: max(b.Registry.revision, b.Registry.newestEntry)}
 }
 
 // recordStoreRevision records the newest revision of the platform's store that an agent has
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -125,7 +125,8 @@
 	// dataAsOf is the send time of the last request that the platform answered: the
 	// answer reflects the state at that time or later.
 	dataAsOf     clock.Millis
-	revision     uint64       // of the platform's store, by RevisionOf, that the view shows
+	revision     uint64       // of the platform's store, by RevisionOf, whose state the view has
+	newestEntry  uint64       // highest revision of a server's entry, which a page may have from later
 	platformLost bool         // the platform does not answer
 	platformBack clock.Millis // end of the platform's last outage
 	hasListing   bool         // a whole listing has been received
@@ -223,6 +224,7 @@
 		r.discardHeld(c)
 		switch {
 		case c.Server != nil:
+			r.newestEntry = max(r.newestEntry, c.Server.Revision)
 			events = append(events, r.setServer(now, *c.Server)...)
 		case c.Removed != "":
 			events = append(events, r.unlistServer(now, c.Removed)...)
--- a/pkg/steer/start_test.go
+++ b/pkg/steer/start_test.go
@@ -53,6 +53,21 @@
 	assert.Equal(t, len(c.resets), 0)
 }
 
+// The pages of a listing are no snapshot: a later one may have entries that were written after
+// the revision of the first one.
+func TestPingTellsOfEntriesFromLaterPages(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	b := c.balancers[0]
+	b.Registry.RecordRevision(2)
+	assert.Equal(t, b.Ping().StoreRevision, c.revision)
+	for _, h := range c.hosts {
+		h.agent.AnswerPing(&steer.Message{Kind: steer.Ping, StoreRevision: c.revision})
+	}
+	c.now += 20
+	c.send(b, dataPacket(1000, newServer(77)))
+	assert.Equal(t, len(c.resets), 0, "the view has all entries up to the revision of the first page only")
+}
+
 // If the new server is the first one of its service, there is no agent that could tell of
 // the newer view.
 func TestFlowAtFirstServerOfServiceIsNotReset(t *testing.T) {
