Search all services whatever configuration a balancer has

What callers would see: a configuration sends a route to another service. One balancer has received it and opens flows there; another one, which receives it up to 3 s later, resets them when the routers pass them to it.

Cause: a search asked the agents of the services that this balancer knew for the route. For new servers there is a time before they get flows; for configurations there is none.

Change: a search asks the agents of all services, those of the route's targets first, not only during the first minute of a process. An agent whose latest server belongs to another service is asked once, for any service.

Why it works: a flow opens at a server that each balancer has listed, whatever its service, so its agent is asked.

--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -116,12 +116,9 @@
 	// prefer. Empty means none.
 	DataCentre string
 
-	config *Config
-	// formerUntil is the end of the time in which flows may be open at services that a route
-	// had before this process received its first configuration.
-	formerUntil clock.Millis
-	servers     map[string]*Server    // by name
-	evacuated   map[string]evacuation // data centres out of service, by name
+	config    *Config
+	servers   map[string]*Server    // by name
+	evacuated map[string]evacuation // data centres out of service, by name
 	// dataAsOf is the send time of the last request that the platform answered: the
 	// answer reflects the state at that time or later.
 	dataAsOf     clock.Millis
@@ -307,11 +304,8 @@
 		}
 		return []Event{{Subject: "configuration", State: "stale version ignored", Version: c.Version}}
 	}
-	until := now + flowLifeOrDefault(r.FlowLife)
-	if r.config == nil {
-		r.formerUntil = until
-	} else {
-		c.Routes = withFormerTargets(now, until, c.Routes, r.config.Routes)
+	if r.config != nil {
+		c.Routes = withFormerTargets(now, now+flowLifeOrDefault(r.FlowLife), c.Routes, r.config.Routes)
 	}
 	r.config = &c
 	r.view = nil
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -88,7 +88,7 @@
 		var ranked [searchGrowth]place.ID
 		for _, id := range ranked[:rank(pool.holders, pool.localHolders, hash, ranked[:])] {
 			if !view.holdsNoFlows(id) && !b.departed(now, view, id) && !b.evacuationEnded(now, view, id) && !b.isSilent(id) {
-				return view.holderOf(route, id, target.Service), true
+				return view.holderOf(id, target.Service), true
 			}
 		}
 	}
@@ -334,7 +334,7 @@
 		for _, id := range pool.holderOrder(hash) {
 			if excluded := bound.excludes(id) && !b.Disabled.Has(BoundSearch); !excluded && !known[id] {
 				known[id] = true
-				holders = append(holders, view.holderOf(route, id, service))
+				holders = append(holders, view.holderOf(id, service))
 			}
 		}
 	}
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -15,15 +15,13 @@
 type View struct {
 	Version uint64 // of the configuration
 
-	routes   map[netip.AddrPort]*Route
-	services map[string]*pool
-	// former has the services that a route may have had before the process started, empty
-	// once all flows from before that have ended.
-	former        []string
-	serverByAgent map[place.ID]*Server
-	evacuated     map[string]evacuation // by data centre
-	acceptsSince  map[holder]uint64     // revisions, as set by recordAccepting
-	passedOver    map[place.ID]bool     // agents that take no new flows yet, or whose data centre is out of service
+	routes         map[netip.AddrPort]*Route
+	services       map[string]*pool
+	listedServices []string // of servers, in alphabetical order
+	serverByAgent  map[place.ID]*Server
+	evacuated      map[string]evacuation // by data centre
+	acceptsSince   map[holder]uint64     // revisions, as set by recordAccepting
+	passedOver     map[place.ID]bool     // agents that take no new flows yet, or whose data centre is out of service
 	// unlistedEvacuated has the agents of unlisted servers in evacuated data centres.
 	unlistedEvacuated []place.ID
 	validUntil        clock.Millis // the view must be rebuilt then, even without a change
@@ -80,11 +78,9 @@
 	for _, s := range r.config.Services {
 		named[s.Name] = nil
 	}
-	if now < r.formerUntil {
-		v.former, v.validUntil = serverServices(r.servers), r.formerUntil
-		for _, service := range v.former {
-			v.services[service] = nil
-		}
+	v.listedServices = servicesOf(r.servers)
+	for _, service := range v.listedServices {
+		v.services[service] = nil
 	}
 	accepting, holders := make(map[string][]place.Member), make(map[string][]place.Member)
 	localHolders := make(map[string][]place.Member)
@@ -180,8 +176,8 @@
 	return out
 }
 
-// serverServices returns the services of servers in alphabetical order.
-func serverServices(servers map[string]*Server) []string {
+// servicesOf returns the services of servers in alphabetical order.
+func servicesOf(servers map[string]*Server) []string {
 	services := make(map[string]bool)
 	for _, s := range servers {
 		services[s.Service] = true
@@ -190,13 +186,14 @@
 }
 
 // holderServices returns the services whose servers may hold flows of a route: those of its
-// targets, then those that may have been targets before the process started.
+// targets, then all others, since the route may have had other targets before the process
+// started, or may have them in a later configuration that another balancer has received.
 func (v *View) holderServices(route *Route) []string {
-	services := make([]string, 0, len(route.Targets)+len(v.former))
+	services := make([]string, 0, len(route.Targets)+len(v.listedServices))
 	for _, t := range route.Targets {
 		services = append(services, t.Service)
 	}
-	for _, service := range v.former {
+	for _, service := range v.listedServices {
 		if !slices.Contains(services, service) {
 			services = append(services, service)
 		}
@@ -204,15 +201,12 @@
 	return services
 }
 
-// holderOf returns an agent of a service as a possible holder of a route's flow. The service
-// is empty, which means any, if the agent's latest server belongs to another one that may
-// hold the flow too: a denial of one service would not speak for the other.
-func (v *View) holderOf(route *Route, id place.ID, service string) holder {
+// holderOf returns an agent of a service as a possible holder of a flow. The service is empty,
+// which means any, if the agent's latest server belongs to another one: a denial of one
+// service would not speak for the other.
+func (v *View) holderOf(id place.ID, service string) holder {
 	if latest := v.serverByAgent[id]; latest != nil && latest.Service != service {
-		isTarget := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == latest.Service })
-		if isTarget || slices.Contains(v.former, latest.Service) {
-			service = ""
-		}
+		service = ""
 	}
 	return holder{id, service}
 }
