Ask the store before a flow without a route is reset

What callers would see: a configuration adds a route, or brings one back. A flow that opens through one balancer is reset by another one that receives the configuration later.

Cause: a packet for an address without a route was refused at once, by whatever configuration the balancer had.

Change: a packet that opens no flow is parked until the store has answered a request that was sent after the packet came. First packets are refused at once as before, since no flow is open.

Evidence: TestFlowOnRouteOfLaterConfigurationIsNotReset failed before and passes now.

Why it works: a configuration that another balancer acted on before the packet came is part of each answer of the store to a later request.

Cost: one call of the store for all packets without a route that come while it runs.

--- a/pkg/steer/balancer.go
+++ b/pkg/steer/balancer.go
@@ -117,14 +117,18 @@
 	if view == nil {
 		return Decision{Verdict: Drop, Reason: NoView}
 	}
-	route := view.routes[p.Key.Target()]
-	if route == nil {
-		return Decision{Verdict: Refuse, Reason: NoRoute}
-	}
 	m.Kind, m.Reason = OfferPacket, KnownOwner
 	m.LastOffer, m.NoOthers, m.Inconclusive, m.KnownOnly, m.PacketKept = false, false, false, false, false
 	m.AgentStartMs, m.VisitedCount, m.LeastBusy, m.LeastBusyLoad = 0, 0, 0, 0
-	m.Goal, m.Priority, m.TimeLimit, m.TypicalTime, m.HasReport = route.Goal, route.Priority, route.TimeLimit, 0, false
+	m.TypicalTime, m.HasReport = 0, false
+	route := view.routes[p.Key.Target()]
+	switch {
+	case route == nil && (p.SYN || p.RST):
+		return Decision{Verdict: Refuse, Reason: NoRoute}
+	case route == nil: // another balancer may have received a configuration that adds it
+		return b.park(now, p, m, awaitAnswer)
+	}
+	m.setRoute(route)
 	hash := p.Key.Hash()
 	if owner := b.owners.Get(now, hash); owner != 0 && !b.departed(now, view, owner) && !b.Disabled.Has(OwnerCache) {
 		switch {
@@ -141,6 +145,11 @@
 	return b.start(now, view, route, hash, p, m)
 }
 
+// setRoute sets what the message tells of the flow's route.
+func (m *Message) setRoute(route *Route) {
+	m.Goal, m.Priority, m.TimeLimit = route.Goal, route.Priority, route.TimeLimit
+}
+
 // Denied decides on a packet that an agent has denied. m is the message that the
 // agent returned. Call Resume afterwards.
 func (b *Balancer) Denied(now clock.Millis, from place.ID, p Packet, m *Message) Decision {
--- a/pkg/steer/parked.go
+++ b/pkg/steer/parked.go
@@ -180,6 +180,7 @@
 		}
 		return Decision{Verdict: Refuse, Reason: NoRoute}
 	}
+	m.setRoute(route)
 	hash := p.Key.Hash()
 	switch {
 	case parked.search != nil:
--- a/pkg/steer/start_test.go
+++ b/pkg/steer/start_test.go
@@ -142,6 +142,24 @@
 	assert.Equal(t, len(c.resets), 0)
 }
 
+// The same for a route that the later configuration adds.
+func TestFlowOnRouteOfLaterConfigurationIsNotReset(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	without := config(2)
+	without.Routes = nil
+	c.apply(steer.Change{Config: without})
+	again := steer.Change{Config: config(3)}
+	c.balancers[0].Registry.Apply(c.now, []steer.Change{again})
+	owner := c.open(c.balancers[0], 1000)
+	c.now += 500
+	assert.Assert(t, c.send(c.balancers[1], dataPacket(1000, owner.server)) == nil)
+	assert.Equal(t, len(c.resets), 0)
+	c.now += 20
+	c.apply(again)
+	assert.Equal(t, c.resume(c.balancers[1]), owner)
+	assert.Equal(t, len(c.resets), 0)
+}
+
 // A host of a route's one service is reused by its other one. The denial for the former
 // service was taken for proof that the host's server did not hold the flow.
 func TestFlowAtReusedHostIsNotReset(t *testing.T) {
