Ask servers whose entries may have returned after an evacuation

Cause: a server whose entry was created after its data centre was evacuated counts as holding no flows. Entries that expire and return are created anew, and a process that did not know their servers before cannot tell them from new ones.

Change: a server that was first seen while expired entries could still return is a possible holder of flows whose requests may not be repeated.

Why it works: its agent is asked, and finds the flow. For other flows a reset is still sent at once, since silence would make all callers wait after a loss of everything in an evacuated state; a wrong one costs them a try.

Tests: TestReturnedEntryOfEvacuatedServerHidesNoFlow failed before and passes now. TestServerListedAfterEvacuationHoldsNoFlows expected the reset from a balancer that had just started: that was this fault. It expects it now for requests that may be repeated, and none for others; TestServerSeenAfterEvacuationHoldsNoFlows expects it for both from a balancer that saw the server come.

--- a/pkg/steer/flows_test.go
+++ b/pkg/steer/flows_test.go
@@ -341,21 +341,52 @@
 	assert.Equal(t, len(c.resets), 0)
 }
 
+// A balancer that has just started cannot tell a server that was listed after the evacuation
+// of its data centre from one whose entry had expired and returned. Callers that may repeat
+// their request must not wait for their time limit because of it.
 func TestServerListedAfterEvacuationHoldsNoFlows(t *testing.T) {
+	for repeatable, resets := range map[bool]int{true: 1, false: 0} {
+		c := newCluster(t, 3, 1)
+		owner := c.open(c.balancers[0], 1000)
+		p := dataPacket(1000, owner.server)
+		c.revision = 100
+		c.apply(steer.Change{DataCentreName: owner.centre, OutOfService: true, Revision: 100})
+		c.now += 6000
+		replacement := c.entry(c.agentOf(owner), steer.Serving)
+		replacement.Name, replacement.CreatedRevision, replacement.StartMs = "new", replacement.Revision, 1
+		c.apply(steer.Change{Removed: owner.name}, steer.Change{Server: replacement})
+		c.send(c.balancers[0], p)
+		c.balancers[0] = newBalancerAfter(c, replacement)
+		c.setRepeatable(repeatable)
+		c.now += steer.EntryReturnTime
+		c.apply()
+		c.send(c.balancers[0], p)
+		assert.Equal(t, len(c.resets), resets, "repeatable: %v", repeatable)
+	}
+}
+
+// A balancer that has run for long knows that the server was listed after the evacuation,
+// and resets flows of any kind.
+func TestServerSeenAfterEvacuationHoldsNoFlows(t *testing.T) {
 	c := newCluster(t, 3, 1)
-	owner := c.open(c.balancers[0], 1000)
-	p := dataPacket(1000, owner.server)
+	b := c.balancers[0]
+	centre := c.someHost().centre
 	c.revision = 100
-	c.apply(steer.Change{DataCentreName: owner.centre, OutOfService: true, Revision: 100})
+	c.apply(steer.Change{DataCentreName: centre, OutOfService: true, Revision: 100})
 	c.now += 6000
-	replacement := c.entry(c.agentOf(owner), steer.Serving)
-	replacement.Name, replacement.CreatedRevision, replacement.StartMs = "new", replacement.Revision, 1
-	c.apply(steer.Change{Removed: owner.name}, steer.Change{Server: replacement})
-	c.send(c.balancers[0], p)
-	c.balancers[0] = newBalancerAfter(c, replacement)
-	c.now += steer.EntryReturnTime
+	id, entry := c.addHost("new")
+	c.hosts[id].centre, entry.DataCentre, entry.CreatedRevision = centre, centre, entry.Revision
+	for _, h := range c.hosts {
+		if h.centre == centre && h != c.hosts[id] {
+			c.apply(steer.Change{Server: c.entry(c.agentOf(h), steer.Leaving)}, steer.Change{Removed: h.name})
+			h.unreachable = true
+			b.HandleMessage(c.now, c.agentOf(h), &steer.Message{Kind: steer.Shutdown, Reason: steer.ServerGone})
+		}
+	}
+	c.apply(steer.Change{Server: entry})
+	c.now += 2000
 	c.apply()
-	c.send(c.balancers[0], p)
+	c.send(b, dataPacket(1000, newServer(77)))
 	assert.Equal(t, len(c.resets), 1)
 }
 
--- a/pkg/steer/lapse_test.go
+++ b/pkg/steer/lapse_test.go
@@ -96,3 +96,31 @@
 	c.send(b, dataPacket(1000, owner.server))
 	assert.Equal(t, len(c.resets), 1)
 }
+
+// Entries expired and returned, created anew, after their data centre was evacuated. A balancer
+// that had started in between took their servers for new ones that could hold no flows, and
+// reset a flow that its server held.
+func TestReturnedEntryOfEvacuatedServerHidesNoFlow(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	owner := c.open(c.balancers[0], 1000)
+	out := steer.Change{DataCentreName: owner.centre, OutOfService: true, Revision: 100}
+	c.apply(out)
+	c.revision = 110
+	b := &steer.Balancer{EvacuationGracePeriod: 5000}
+	b.Registry.RecordPlatformAnswer(c.now, c.now)
+	b.Registry.ApplyListing(c.now, []steer.Change{{Config: config(1)}, out})
+	c.now += 900
+	var back []steer.Change
+	for id := range c.hosts {
+		e := c.entry(id, steer.Serving)
+		e.CreatedRevision = e.Revision
+		back = append(back, steer.Change{Server: e})
+	}
+	b.Registry.RecordPlatformAnswer(c.now, c.now)
+	b.Registry.Apply(c.now, back)
+	c.now += 2 * clock.Second
+	b.Registry.RecordPlatformAnswer(c.now, c.now)
+	c.balancers = append(c.balancers, b)
+	assert.Equal(t, c.send(b, dataPacket(1000, owner.server)), owner)
+	assert.Equal(t, len(c.resets), 0)
+}
--- a/pkg/steer/registry.go
+++ b/pkg/steer/registry.go
@@ -39,6 +39,9 @@
 	unlistedSince clock.Millis // when its entry was removed, 0 while it is listed
 	returnExpired bool         // its entry did not return in time
 	hasDrained    bool         // an entry of this run said that it drains
+	// mayHaveReturned is set if expired entries could still return when the server was first
+	// seen: CreatedRevision may then be later than flows of the server.
+	mayHaveReturned bool
 }
 
 // Target is a service that receives a share of a route's new flows.
@@ -247,9 +250,10 @@
 	if earlier := r.earliestRun(s); earlier != nil {
 		s.firstSeen, s.initial = earlier.firstSeen, earlier.initial
 	}
+	s.mayHaveReturned = r.entriesMayReturn(now)
 	if old != nil && old.StartMs == s.StartMs {
 		s.CreatedRevision = old.CreatedRevision // a restored store gives out others
-		s.hasDrained = old.hasDrained
+		s.hasDrained, s.mayHaveReturned = old.hasDrained, old.mayHaveReturned
 	}
 	s.hasDrained = s.hasDrained || s.State == Leaving
 	r.servers[s.Name] = &s
@@ -460,6 +464,13 @@
 	return now < r.firstListed+EntryReturnTime && !r.Disabled.Has(AwaitEntry)
 }
 
+// entriesMayReturn reports whether an entry that is new to this process may be one that had
+// expired before: in its first listing or just after it, and until just after an outage or a
+// restore that it has seen.
+func (r *Registry) entriesMayReturn(now clock.Millis) bool {
+	return !r.hasListing || r.JustListed(now) || r.platformLost || now < r.platformBack+EntryReturnTime || r.restoring(now)
+}
+
 // AwaitingReturn reports whether the entry of a server that was not draining may still
 // return, and how long the next request to the platform can wait: an answer to an
 // earlier one could not confirm that the entry did not return.
--- a/pkg/steer/search.go
+++ b/pkg/steer/search.go
@@ -87,7 +87,7 @@
 		}
 		var ranked [searchGrowth]place.ID
 		for _, id := range ranked[:rank(pool.holders, pool.localHolders, hash, ranked[:])] {
-			if !view.holdsNoFlows(id) && !b.departed(now, view, id) && !b.evacuationEnded(now, view, id) && !b.isSilent(id) {
+			if !view.holdsNoFlows(route, id) && !b.departed(now, view, id) && !b.evacuationEnded(now, view, id) && !b.isSilent(id) {
 				return view.holderOf(id, target.Service), true
 			}
 		}
@@ -314,9 +314,8 @@
 		s.holders, s.holdersOf = b.possibleHolders(view, route, hash), view
 	}
 	var plan searchPlan
-	abandon := b.mayAbandon(route)
 	for _, h := range s.holders {
-		b.planAgent(now, view, h, abandon, s, &plan)
+		b.planAgent(now, view, route, h, s, &plan)
 	}
 	return plan
 }
@@ -341,11 +340,11 @@
 	return holders
 }
 
-// planAgent adds one agent to a plan. With abandon, unreachable agents are passed over.
-func (b *Balancer) planAgent(now clock.Millis, view *View, h holder, abandon bool, s *search, plan *searchPlan) {
+// planAgent adds one agent to a plan.
+func (b *Balancer) planAgent(now clock.Millis, view *View, route *Route, h holder, s *search, plan *searchPlan) {
 	answered, asked := s.answers[h.agent]
 	switch {
-	case asked && answered == holdsNothing, view.holdsNoFlows(h.agent), b.departed(now, view, h.agent):
+	case asked && answered == holdsNothing, view.holdsNoFlows(route, h.agent), b.departed(now, view, h.agent):
 	case b.evacuationEnded(now, view, h.agent):
 		plan.anyEvacuated = true
 	case asked:
@@ -354,7 +353,7 @@
 		plan.anyStarting = true
 	case !b.isSilent(h.agent):
 		plan.ask = append(plan.ask, h)
-	case abandon && b.unreachable(now, h.agent):
+	case b.mayAbandon(route) && b.unreachable(now, h.agent):
 		plan.anyAbandoned = true
 	default:
 		plan.needsUpdate = plan.needsUpdate || b.Registry.returnUndecided(now, view.serverByAgent[h.agent])
--- a/pkg/steer/view.go
+++ b/pkg/steer/view.go
@@ -250,11 +250,13 @@
 }
 
 // holdsNoFlows reports whether the server of an agent was first listed after its data
-// centre had been taken out of service, so that no flow can have opened there. Only
-// revisions of one era tell which came first.
-func (v *View) holdsNoFlows(id place.ID) bool {
+// centre had been taken out of service, so that no flow of a route can have opened there. Only
+// revisions of one era tell which came first. An entry that has expired and returned has a
+// later revision than its server's flows: where that may be so, the server may hold flows
+// whose requests would be lost by a reset.
+func (v *View) holdsNoFlows(route *Route, id place.ID) bool {
 	s := v.serverByAgent[id]
-	if s == nil {
+	if s == nil || s.mayHaveReturned && !route.Repeatable {
 		return false
 	}
 	e, evacuated := v.evacuated[s.DataCentre]
